--- /dev/null
+++ b/crates/kumquat-bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Measurements of kumquatpond.
+
+fn main() {}
--- /dev/null
+++ b/crates/kumquat-coordination/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure coordination state machines of kumquatpond: membership, ownership, limits and dispatch.
--- /dev/null
+++ b/crates/kumquat-demo/src/main.rs
@@ -0,0 +1,3 @@
+//! Demonstration of kumquatpond on loopback.
+
+fn main() {}
--- /dev/null
+++ b/crates/kumquat-dispatch/src/lib.rs
@@ -0,0 +1,1 @@
+//! Dispatch daemon of kumquatpond: membership, coordinating roles and dispatch to upstreams.
--- /dev/null
+++ b/crates/kumquat-dispatch/src/main.rs
@@ -0,0 +1,3 @@
+//! Dispatch daemon of kumquatpond: membership, coordinating roles and dispatch to upstreams.
+
+fn main() {}
--- /dev/null
+++ b/crates/kumquat-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Entry daemon of kumquatpond: takes callers' HTTP requests.
--- /dev/null
+++ b/crates/kumquat-entry/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry daemon of kumquatpond: takes callers' HTTP requests.
+
+fn main() {}
--- /dev/null
+++ b/crates/kumquat-protocol/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between the processes of kumquatpond and their codec.
--- /dev/null
+++ b/crates/kumquat-settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings of the kumquatpond daemons, read from INI files.
--- /dev/null
+++ b/crates/kumquat-spec/src/lib.rs
@@ -0,0 +1,1 @@
+//! Specification of the core protocol, explored exhaustively.
--- /dev/null
+++ b/crates/kumquat-spec/src/main.rs
@@ -0,0 +1,3 @@
+//! Specification of the core protocol, explored exhaustively.
+
+fn main() {}
--- /dev/null
+++ b/crates/kumquat-standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins of the outside systems that kumquatpond talks to.
--- /dev/null
+++ b/crates/kumquat-standins/src/main.rs
@@ -0,0 +1,3 @@
+//! Small stand-ins of the outside systems that kumquatpond talks to.
+
+fn main() {}
--- /dev/null
+++ b/crates/kumquat-transport/src/lib.rs
@@ -0,0 +1,1 @@
+//! Connections of kumquatpond: peer links, upstream client and platform client.
--- /dev/null
+++ b/crates/kumquatctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Operators' command of kumquatpond.
+
+fn main() {}
--- /dev/null
+++ b/crates/kumquatpond/src/lib.rs
@@ -0,0 +1,1 @@
+//! Coordination library for routers to servers that own keys exclusively.
