Add wire messages, handshake, links and flow-controlled streams

Cause: entry and dispatch processes need an authenticated way to exchange requests, bodies and heartbeats before the daemons can be built. Change: kumquat-protocol (wire types, sealed frames, typestate handshake) and kumquat-transport (WebSocket links, body streams with windows). Conclusion: the daemons can be written against these types.

--- a/crates/kumquat-transport/src/lib.rs
+++ b/crates/kumquat-transport/src/lib.rs
@@ -1,1 +1,8 @@
-//! Connections of kumquatpond: peer links, upstream client and platform client.
+//! The `kumquat-transport` crate holds the connections of kumquatpond: links between its processes, streams over them,
+//! and the clients for upstreams and the platform's store.
+
+pub mod errors;
+pub mod link;
+pub mod stream;
+
+pub use errors::{Error, Result};
--- /dev/null
+++ b/crates/kumquat-transport/src/link.rs
@@ -0,0 +1,346 @@
+//! The `link` module provides authenticated message links between processes over WebSocket.
+//!
+//! A link has a bounded queue towards the peer; a writer task seals what is queued and flushes once the queue is empty, so
+//! that many small messages share a segment. See `docs/design.md`, section 8.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::stream::{SplitSink, SplitStream};
+use futures_util::{SinkExt, StreamExt};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::Message as Packet;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_util::sync::CancellationToken;
+
+use kumquat_protocol::frame::{LIMIT, Opener, Sealer};
+use kumquat_protocol::handshake::{self, Identity, Initiator, Secret, Session};
+use kumquat_protocol::wire::Message;
+
+use crate::errors::{Error, Result};
+
+/// Time within which a peer has to finish connecting and the handshake.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Messages that wait for the writer of a link.
+const QUEUE: usize = 1_024;
+
+/// Longest time that a write may wait for the peer to read.
+///
+/// A peer that reads nothing for this long is taken for lost; its streams end and can be retried elsewhere.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// What a process needs to open or accept links.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Who this process is.
+    pub identity: Identity,
+    /// Secret of the cell.
+    pub secret: Secret,
+}
+
+/// An open link.
+#[derive(Debug)]
+pub struct Link {
+    /// Who is at the other end.
+    pub peer: Identity,
+    /// Sending half.
+    pub sender: Sender,
+    /// Receiving half.
+    pub receiver: Receiver,
+}
+
+/// Sending half of a link; clones share the queue.
+#[derive(Clone, Debug)]
+pub struct Sender {
+    queue: mpsc::Sender<Message>,
+    closed: CancellationToken,
+}
+
+/// Receiving half of a link.
+#[derive(Debug)]
+pub struct Receiver {
+    packets: SplitStream<WebSocketStream<TcpStream>>,
+    opener: Opener,
+    closed: CancellationToken,
+}
+
+/// Accepts links.
+#[derive(Debug)]
+pub struct Listener {
+    listener: TcpListener,
+    options: Options,
+}
+
+/// A TCP connection whose handshake is still to come.
+#[derive(Debug)]
+pub struct Pending {
+    stream: TcpStream,
+    options: Options,
+}
+
+impl Listener {
+    /// Binds the address on which peers connect.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Bind`] if the address can't be bound.
+    pub async fn bind(address: SocketAddr, options: Options) -> Result<Self> {
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(|source| Error::bind(address, source))?;
+        Ok(Self { listener, options })
+    }
+
+    /// Returns the bound address.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Connect`] if the system can't tell the address.
+    pub fn address(&self) -> Result<SocketAddr> {
+        self.listener.local_addr().map_err(Error::connect)
+    }
+
+    /// Waits for the next connection; its handshake is run by [`Pending::open`], so that a slow peer holds up no other.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Connect`] if the system can't accept a connection.
+    pub async fn accept(&self) -> Result<Pending> {
+        let (stream, _) = self.listener.accept().await.map_err(Error::connect)?;
+        Ok(Pending {
+            stream,
+            options: self.options.clone(),
+        })
+    }
+}
+
+impl Pending {
+    /// Runs the handshake and returns the link.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the peer is slow, speaks another version or does not know the secret.
+    pub async fn open(self) -> Result<Link> {
+        timeout(HANDSHAKE_TIMEOUT, self.negotiate())
+            .await
+            .unwrap_or(Err(Error::HandshakeTimeout))
+    }
+
+    async fn negotiate(self) -> Result<Link> {
+        self.stream.set_nodelay(true).map_err(Error::connect)?;
+        let mut socket = tokio_tungstenite::accept_async_with_config(self.stream, Some(limits()))
+            .await
+            .map_err(Error::connect)?;
+
+        let hello = read_packet(&mut socket).await?;
+        let (verifying, own) = handshake::respond(
+            &self.options.secret,
+            &self.options.identity,
+            rand::random(),
+            &hello,
+        )?;
+        write_packet(&mut socket, own).await?;
+
+        let proof = read_packet(&mut socket).await?;
+        let (session, own) = verifying.finish(&proof)?;
+        write_packet(&mut socket, own).await?;
+        Ok(start(socket, session))
+    }
+}
+
+/// Opens a link to a peer.
+///
+/// # Errors
+///
+/// Returns an error if the peer can't be reached, is slow, speaks another version or does not know the secret.
+pub async fn open(address: SocketAddr, options: &Options) -> Result<Link> {
+    timeout(HANDSHAKE_TIMEOUT, connect(address, options))
+        .await
+        .unwrap_or(Err(Error::HandshakeTimeout))
+}
+
+async fn connect(address: SocketAddr, options: &Options) -> Result<Link> {
+    let stream = TcpStream::connect(address).await.map_err(Error::connect)?;
+    stream.set_nodelay(true).map_err(Error::connect)?;
+    let (mut socket, _) = tokio_tungstenite::client_async_with_config(
+        format!("ws://{address}/peer"),
+        stream,
+        Some(limits()),
+    )
+    .await
+    .map_err(Error::connect)?;
+
+    let (initiator, hello) = Initiator::start(&options.secret, &options.identity, rand::random())?;
+    write_packet(&mut socket, hello).await?;
+    let peer_hello = read_packet(&mut socket).await?;
+    let (proving, proof) = initiator.prove(&peer_hello)?;
+    write_packet(&mut socket, proof).await?;
+    let peer_proof = read_packet(&mut socket).await?;
+    let session = proving.finish(&peer_proof)?;
+    Ok(start(socket, session))
+}
+
+fn limits() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(LIMIT))
+        .max_frame_size(Some(LIMIT))
+}
+
+async fn read_packet<S>(socket: &mut WebSocketStream<S>) -> Result<Vec<u8>>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    match socket.next().await {
+        Some(Ok(Packet::Binary(bytes))) => Ok(bytes.to_vec()),
+        Some(Ok(_)) => Err(kumquat_protocol::Error::malformed("expected a binary packet").into()),
+        Some(Err(error)) => Err(Error::connect(error)),
+        None => Err(Error::Closed),
+    }
+}
+
+async fn write_packet<S>(socket: &mut WebSocketStream<S>, bytes: Vec<u8>) -> Result<()>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    socket
+        .send(Packet::Binary(bytes.into()))
+        .await
+        .map_err(Error::connect)
+}
+
+fn start(socket: WebSocketStream<TcpStream>, session: Session) -> Link {
+    let (sink, packets) = socket.split();
+    let (queue, messages) = mpsc::channel(QUEUE);
+    let closed = CancellationToken::new();
+    tokio::spawn(write(sink, session.sealer, messages, closed.clone()));
+    Link {
+        peer: session.peer,
+        sender: Sender {
+            queue,
+            closed: closed.clone(),
+        },
+        receiver: Receiver {
+            packets,
+            opener: session.opener,
+            closed,
+        },
+    }
+}
+
+/// Writes queued messages until the link is closed or the peer stops reading.
+async fn write(
+    mut sink: SplitSink<WebSocketStream<TcpStream>, Packet>,
+    mut sealer: Sealer,
+    mut messages: mpsc::Receiver<Message>,
+    closed: CancellationToken,
+) {
+    loop {
+        let message = tokio::select! {
+            biased;
+            () = closed.cancelled() => break,
+            message = messages.recv() => message,
+        };
+        let Some(message) = message else { break };
+        let batch = write_batch(&mut sink, &mut sealer, message, &mut messages);
+        if !matches!(timeout(WRITE_TIMEOUT, batch).await, Ok(Ok(()))) {
+            break;
+        }
+    }
+    closed.cancel();
+    // The peer notices the end from the closed connection as well, so a failure here changes nothing.
+    drop(timeout(HANDSHAKE_TIMEOUT, sink.close()).await);
+}
+
+async fn write_batch(
+    sink: &mut SplitSink<WebSocketStream<TcpStream>, Packet>,
+    sealer: &mut Sealer,
+    first: Message,
+    messages: &mut mpsc::Receiver<Message>,
+) -> Result<()> {
+    let mut next = Some(first);
+    while let Some(message) = next {
+        let frame = sealer.seal(&message)?;
+        sink.feed(Packet::Binary(frame.into()))
+            .await
+            .map_err(Error::connect)?;
+        next = messages.try_recv().ok();
+    }
+    sink.flush().await.map_err(Error::connect)
+}
+
+impl Sender {
+    /// Queues a message and waits while the queue is full.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Closed`] if the link has ended.
+    pub async fn send(&self, message: Message) -> Result<()> {
+        tokio::select! {
+            biased;
+            () = self.closed.cancelled() => Err(Error::Closed),
+            sent = self.queue.send(message) => sent.or(Err(Error::Closed)),
+        }
+    }
+
+    /// Queues a message unless the queue is full.
+    ///
+    /// Heartbeats use it: one that would wait behind a full queue is worth nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Closed`] if the link has ended or the queue is full.
+    pub fn try_send(&self, message: Message) -> Result<()> {
+        if self.closed.is_cancelled() {
+            return Err(Error::Closed);
+        }
+        self.queue.try_send(message).or(Err(Error::Closed))
+    }
+
+    /// Ends the link in both directions.
+    pub fn close(&self) {
+        self.closed.cancel();
+    }
+
+    /// Returns whether the link has ended.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.closed.is_cancelled()
+    }
+
+    /// Waits until the link has ended.
+    pub async fn closed(&self) {
+        self.closed.cancelled().await;
+    }
+}
+
+impl Receiver {
+    /// Waits for the next message.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Closed`] when the link has ended, or a protocol error, after which the link is closed.
+    pub async fn next(&mut self) -> Result<Message> {
+        loop {
+            let packet = tokio::select! {
+                biased;
+                () = self.closed.cancelled() => None,
+                packet = self.packets.next() => packet,
+            };
+            let result = match packet {
+                Some(Ok(Packet::Binary(frame))) => self.opener.open(&frame).map_err(Error::from),
+                // The library answers pings by itself.
+                Some(Ok(Packet::Ping(_) | Packet::Pong(_))) => continue,
+                Some(Ok(_) | Err(_)) | None => Err(Error::Closed),
+            };
+            if result.is_err() {
+                self.closed.cancel();
+            }
+            return result;
+        }
+    }
+}
