--- a/crates/kumquat-coordination/src/lib.rs
+++ b/crates/kumquat-coordination/src/lib.rs
@@ -1,1 +1,6 @@
-//! Pure coordination state machines of kumquatpond: membership, ownership, limits and dispatch.
+//! The `kumquat-coordination` crate holds the decisions of kumquatpond as state machines without I/O or clocks.
+//!
+//! Each takes events and the monotonic time and returns typed actions, so that the daemons, the model checker, the
+//! randomised runs and the benchmarks run the same code. See `docs/design.md`, section 2.2.
+
+pub mod routing;
