Add chunked documents, caller keys and the stored ledger form

Cause: bundles and ledgers outgrow the 1 MB values of the store, and the entry, the dispatch process and kumquatctl need one form of each. Change: `document` splits any bytes into blake3-addressed chunks of at most 512 KB and a head; a head can name the head that it replaced, so a writer whose answer was lost finds its operation later. `secret` draws caller keys, digests them with the deployment's pepper and looks them up with a constant-time final comparison. `ledger::codec` encodes and decodes the ledger and refuses unsorted lists and oversized holder lists.

--- a/crates/kumquat-state/src/ledger.rs
+++ b/crates/kumquat-state/src/ledger.rs
@@ -2,6 +2,8 @@
 //!
 //! The ledger is changed only by compare-and-swap of the whole document's head. See `docs/design.md`, section 4.
 
+mod codec;
+
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -9,6 +11,8 @@
 use crate::ident;
 use crate::slots;
 
+pub use codec::Error;
+
 /// Format version of the stored ledger.
 pub const FORMAT: u16 = 1;
 
--- a/crates/kumquat-state/src/lib.rs
+++ b/crates/kumquat-state/src/lib.rs
@@ -5,7 +5,10 @@
 
 pub mod bundle;
 pub mod clock;
+mod codec;
+pub mod document;
 pub mod hash;
 pub mod ident;
 pub mod ledger;
+pub mod secret;
 pub mod slots;
