Add the entry's gateway, admission, routing and life cycle

Cause: callers need an HTTP endpoint that authenticates, limits, routes and refuses truthfully before any dispatch process can be reached.

--- /dev/null
+++ b/crates/kumquat-entry/src/admin.rs
@@ -0,0 +1,73 @@
+//! The `admin` module provides the HTTP endpoints for operators and the balancer.
+
+use std::sync::Arc;
+
+use poem::http::StatusCode;
+use poem::{Endpoint, Request, Response};
+use tokio_util::sync::CancellationToken;
+
+use crate::config::Config;
+use crate::metrics::Metrics;
+
+/// Endpoint of the admin listener: `/live`, `/ready`, `/metrics` and `/status`.
+#[derive(Clone, Debug)]
+pub struct Admin {
+    /// Bundle and ledger in force.
+    pub config: Arc<Config>,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Set once the entry drains.
+    pub draining: CancellationToken,
+}
+
+impl Admin {
+    fn is_ready(&self) -> bool {
+        !self.draining.is_cancelled()
+            && self.config.is_fresh()
+            && self.config.bundle().is_some()
+            && self.config.ledger().is_some()
+    }
+
+    fn status(&self) -> String {
+        let bundle = self.config.bundle().map_or(0, |bundle| bundle.version.0);
+        let ledger = self.config.ledger().map_or(0, |ledger| ledger.revision.0);
+        format!(
+            "{{\"bundle\":{bundle},\"ledger\":{ledger},\"fresh\":{},\"draining\":{}}}\n",
+            self.config.is_fresh(),
+            self.draining.is_cancelled()
+        )
+    }
+
+    fn metrics(&self) -> String {
+        let version = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        let bundle = self.config.bundle().map_or(0, |bundle| bundle.version.0);
+        let ledger = self.config.ledger().map_or(0, |ledger| ledger.revision.0);
+        self.metrics.bundle_version.set(version(bundle));
+        self.metrics.ledger_revision.set(version(ledger));
+        self.metrics.render()
+    }
+}
+
+impl Endpoint for Admin {
+    type Output = Response;
+
+    async fn call(&self, request: Request) -> poem::Result<Response> {
+        let response = match request.uri().path() {
+            "/live" => Response::builder().body("live\n"),
+            "/ready" if self.is_ready() => Response::builder().body("ready\n"),
+            "/ready" => Response::builder()
+                .status(StatusCode::SERVICE_UNAVAILABLE)
+                .body("not ready\n"),
+            "/metrics" => Response::builder()
+                .content_type("text/plain; version=0.0.4")
+                .body(self.metrics()),
+            "/status" => Response::builder()
+                .content_type("application/json")
+                .body(self.status()),
+            _ => Response::builder()
+                .status(StatusCode::NOT_FOUND)
+                .body("unknown path\n"),
+        };
+        Ok(response)
+    }
+}
--- /dev/null
+++ b/crates/kumquat-entry/src/documents.rs
@@ -0,0 +1,125 @@
+//! The `documents` module provides the task that follows the bundle and the ledger of the VM's dispatch process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use kumquat_protocol::wire::{Document, Kind, Message, Pull};
+use kumquat_state::bundle::envelope::{Envelope, Trust};
+use kumquat_state::ledger::Ledger;
+use kumquat_transport::{Error, Result, link};
+
+use crate::config::Config;
+
+/// Wait before the link to the dispatch process is opened again.
+const RECONNECT: Duration = Duration::from_millis(100);
+
+/// Most parts of one document; with the frame limit it bounds the memory that a document takes on its way.
+const PART_LIMIT: u32 = 256;
+
+/// Where the documents come from.
+#[derive(Clone, Debug)]
+pub struct Source {
+    /// Address of the VM's dispatch process.
+    pub address: SocketAddr,
+    /// Identity and secret.
+    pub options: link::Options,
+    /// Keys by which bundles have to be signed.
+    pub trust: Arc<Trust>,
+}
+
+/// A document of which not all parts have come yet.
+#[derive(Debug, Default)]
+pub struct Assembly {
+    version: u64,
+    next: u32,
+    bytes: BytesMut,
+}
+
+impl Assembly {
+    /// Adds a part and returns the whole document with its last one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the parts come out of order or are too many.
+    pub fn push(&mut self, document: &Document) -> Result<Option<Vec<u8>>> {
+        if document.part == 0 {
+            self.version = document.version;
+            self.next = 0;
+            self.bytes.clear();
+        }
+        let expected = document.version == self.version && document.part == self.next;
+        if !expected || document.parts > PART_LIMIT || document.part >= document.parts {
+            return Err(kumquat_protocol::Error::malformed("document part out of order").into());
+        }
+        self.bytes.extend_from_slice(&document.data);
+        self.next += 1;
+        Ok((self.next == document.parts).then(|| self.bytes.split().to_vec()))
+    }
+}
+
+/// Follows the documents until the entry shuts down.
+pub async fn follow(source: Source, config: Arc<Config>, closing: CancellationToken) {
+    while !closing.is_cancelled() {
+        tokio::select! {
+            () = closing.cancelled() => return,
+            // The end of the link leads to a new one; the freshness of the bundle bounds how long that may take.
+            _ = follow_link(&source, &config) => {}
+        }
+        sleep(RECONNECT).await;
+    }
+}
+
+async fn follow_link(source: &Source, config: &Config) -> Result<()> {
+    let mut link = link::open(source.address, &source.options).await?;
+    let known_bundle = config.bundle().map_or(0, |bundle| bundle.version.0);
+    let known_ledger = config.ledger().map_or(0, |ledger| ledger.revision.0);
+    for (kind, known) in [(Kind::Bundle, known_bundle), (Kind::Ledger, known_ledger)] {
+        link.sender.send(Message::Pull(Pull { kind, known })).await?;
+    }
+
+    let mut bundle = Assembly::default();
+    let mut ledger = Assembly::default();
+    loop {
+        match link.receiver.next().await? {
+            Message::Document(document) => {
+                let assembly = match document.kind {
+                    Kind::Bundle => &mut bundle,
+                    Kind::Ledger => &mut ledger,
+                };
+                if let Some(bytes) = assembly.push(&document)? {
+                    apply(document.kind, &bytes, source, config)?;
+                }
+            }
+            Message::Freshness(freshness) => {
+                config.set_fresh(Duration::from_millis(u64::from(freshness.valid_ms)));
+            }
+            Message::Ping => link.sender.send(Message::Pong).await?,
+            _ => {}
+        }
+    }
+}
+
+fn apply(kind: Kind, bytes: &[u8], source: &Source, config: &Config) -> Result<()> {
+    match kind {
+        Kind::Bundle => {
+            let bundle = Envelope::decode(bytes)
+                .and_then(|envelope| envelope.open(&source.trust))
+                .map_err(|error| malformed(&error))?;
+            config.set_bundle(bundle);
+        }
+        Kind::Ledger => {
+            let ledger = Ledger::decode(bytes).map_err(|error| malformed(&error))?;
+            config.set_ledger(ledger);
+        }
+    }
+    Ok(())
+}
+
+fn malformed(error: &dyn std::fmt::Display) -> Error {
+    kumquat_protocol::Error::malformed(error.to_string()).into()
+}
--- /dev/null
+++ b/crates/kumquat-entry/src/router.rs
@@ -0,0 +1,296 @@
+//! The `router` module provides the way of a request from admission to its answer, including further tries.
+
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use futures_util::stream;
+use poem::{Body, Response};
+use poem::http::StatusCode;
+use tokio::time::{sleep, timeout};
+
+use kumquat_coordination::routing::{Attempts, Budget, Cause, Failure, Next};
+use kumquat_protocol::wire::{self, Message, Outcome, Reason};
+use kumquat_state::bundle::{Bundle, Class, Kind, Service};
+use kumquat_state::clock::{self, Instant};
+use kumquat_state::ident;
+use kumquat_state::ledger::{Ledger, Name};
+use kumquat_transport::stream::Incoming;
+
+use crate::answer::Refusal;
+use crate::body::CallerBody;
+use crate::caller;
+use crate::config::Config;
+use crate::links::{Exchange, Guard, Head, Pool};
+use crate::metrics::Metrics;
+use crate::target::{self, Memory};
+
+/// Time that opening a link may take before the next holder is tried.
+const LINK_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time beyond the deadline for which a dispatch process may take to report that it has passed.
+const GRACE: Duration = Duration::from_millis(100);
+
+/// A caller's request after authentication and admission.
+#[derive(Debug)]
+pub struct Call {
+    /// Id of the request.
+    pub id: [u8; 16],
+    /// Service that has to answer.
+    pub service: Service,
+    /// Team for which the request runs.
+    pub team: ident::Team,
+    /// Hash of the routing key.
+    pub key: Option<u64>,
+    /// Urgency.
+    pub class: Class,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// When the answer has to be there.
+    pub deadline: Instant,
+    /// HTTP method.
+    pub method: String,
+    /// Path with query.
+    pub path: String,
+    /// Headers for the upstream.
+    pub headers: Vec<wire::Header>,
+    /// The caller's body.
+    pub body: CallerBody,
+}
+
+/// Sends requests to dispatch processes.
+#[derive(Debug)]
+pub struct Router {
+    /// Bundle and ledger in force.
+    pub config: Arc<Config>,
+    /// Connections to dispatch processes.
+    pub pool: Arc<Pool>,
+    /// Where acting holders were last found.
+    pub memory: Arc<Memory>,
+    /// Which group of a pool service takes a request.
+    pub balance: crate::balance::Choice,
+    /// Bound on retries.
+    pub budget: Mutex<Budget>,
+    /// Counters.
+    pub metrics: Metrics,
+}
+
+/// A try that failed.
+struct Failed {
+    failure: Failure,
+    reason: Reason,
+}
+
+impl Failed {
+    const fn not_run(cause: Cause, reason: Reason) -> Self {
+        let failure = Failure {
+            cause,
+            may_have_run: false,
+            retry_after: None,
+        };
+        Self { failure, reason }
+    }
+
+    const fn unknown(cause: Cause, reason: Reason) -> Self {
+        let failure = Failure {
+            cause,
+            may_have_run: true,
+            retry_after: None,
+        };
+        Self { failure, reason }
+    }
+}
+
+impl From<&wire::Refusal> for Failed {
+    fn from(refusal: &wire::Refusal) -> Self {
+        let cause = match refusal.reason {
+            Reason::NotActing | Reason::NoOwner | Reason::Draining => Cause::Moved,
+            Reason::QueueFull | Reason::Deadline | Reason::Unavailable => Cause::Busy,
+            Reason::Broken | Reason::PeerLost => Cause::Broken,
+            Reason::OverRate => Cause::Final,
+        };
+        Self {
+            failure: Failure {
+                cause,
+                may_have_run: refusal.outcome == Outcome::Unknown,
+                retry_after: Some(Duration::from_millis(u64::from(refusal.retry_after_ms))),
+            },
+            reason: refusal.reason,
+        }
+    }
+}
+
+impl Router {
+    /// Sends a request until it is answered or has to be given up.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal for the caller.
+    pub async fn route(&self, mut call: Call) -> Result<Response, Refusal> {
+        self.lock_budget().deposit();
+        let alternatives = match call.service.kind {
+            Kind::Pool => u32::try_from(call.service.data_centres.len()).unwrap_or(1) - 1,
+            Kind::Keyed => 0,
+        };
+        let mut attempts = Attempts::new(call.idempotent, call.deadline, alternatives);
+
+        loop {
+            let failed = match self.attempt(&mut call).await {
+                Ok(response) => return Ok(response),
+                Err(failed) => failed,
+            };
+            let replayable = call.body.is_replayable();
+            let next = attempts.failed(
+                clock::now(),
+                failed.failure,
+                replayable,
+                &mut self.lock_budget(),
+            );
+            match next {
+                Next::Retry { after } => sleep(after).await,
+                Next::GiveUp {
+                    may_have_run,
+                    retry_after,
+                } => return Err(Refusal::from_try(failed.reason, may_have_run, retry_after)),
+            }
+            self.metrics.retries.inc();
+        }
+    }
+
+    async fn attempt(&self, call: &mut Call) -> Result<Response, Failed> {
+        let moved = || Failed::not_run(Cause::Moved, Reason::NoOwner);
+        let (bundle, ledger) = (self.config.bundle(), self.config.ledger());
+        let (bundle, ledger) = bundle.zip(ledger).ok_or_else(moved)?;
+        let centre = self.data_centre(&bundle, &ledger, call).ok_or_else(moved)?;
+        let role = Name::Group {
+            service: call.service.name.clone(),
+            data_centre: centre,
+        };
+        let (rank, member) = self.memory.holder(&ledger, &role).ok_or_else(moved)?;
+
+        let mut exchange = match self.open(member, &role, call).await {
+            Ok(exchange) => exchange,
+            Err(failed) => {
+                self.memory.failed(&ledger, &role, rank);
+                return Err(failed);
+            }
+        };
+        let too_large = match exchange.outgoing.take() {
+            Some(outgoing) => Some(call.body.send(outgoing).await),
+            None => None,
+        };
+
+        let left = clock::now().until(call.deadline) + GRACE;
+        let result = match timeout(left, exchange.head()).await {
+            Ok(Ok(Head::Answer(answer))) => {
+                self.balance.report(&role, answer.load);
+                return Ok(respond(&answer, exchange));
+            }
+            Ok(Ok(Head::Refusal(refusal))) => {
+                exchange.finish();
+                self.balance.report(&role, refusal.load);
+                if refusal.reason == Reason::NotActing {
+                    self.memory.failed(&ledger, &role, rank);
+                }
+                Failed::from(refusal.as_ref())
+            }
+            Ok(Err(_)) => {
+                self.memory.failed(&ledger, &role, rank);
+                Failed::unknown(Cause::Broken, Reason::PeerLost)
+            }
+            Err(_) => Failed::unknown(Cause::Final, Reason::Deadline),
+        };
+        self.balance.failed(&role);
+        if too_large.is_some_and(|flag| flag.load(Ordering::Acquire)) {
+            return Err(Failed::unknown(Cause::Final, Reason::Broken));
+        }
+        Err(result)
+    }
+
+    fn data_centre(&self, bundle: &Bundle, ledger: &Ledger, call: &Call) -> Option<ident::DataCentre> {
+        match call.key {
+            Some(key) => target::owner_data_centre(bundle, ledger, &call.service, key),
+            None => self.balance.choose(bundle, &call.service),
+        }
+    }
+
+    /// Sends the head of the request; a failure means that it did not run.
+    async fn open(
+        &self,
+        member: &kumquat_state::ledger::Member,
+        role: &Name,
+        call: &Call,
+    ) -> Result<Exchange, Failed> {
+        let lost = |_| Failed::not_run(Cause::Moved, Reason::PeerLost);
+        let connection = timeout(LINK_TIMEOUT, self.pool.connection(member))
+            .await
+            .map_err(|_| Failed::not_run(Cause::Moved, Reason::PeerLost))?
+            .map_err(lost)?;
+        let Name::Group {
+            service,
+            data_centre,
+        } = role
+        else {
+            return Err(Failed::not_run(Cause::Moved, Reason::NoOwner));
+        };
+        let left = clock::now().until(call.deadline).as_millis();
+        let has_body = call.body.exists();
+        let build = |stream| {
+            Message::Request(Box::new(wire::Request {
+                stream,
+                id: call.id,
+                service: service.clone(),
+                data_centre: data_centre.clone(),
+                team: call.team.clone(),
+                key: call.key,
+                class: call.class,
+                idempotent: call.idempotent,
+                deadline_ms: u32::try_from(left).unwrap_or(u32::MAX),
+                method: call.method.clone(),
+                path: call.path.clone(),
+                headers: call.headers.clone(),
+                has_body,
+            }))
+        };
+        connection.request(has_body, build).await.map_err(lost)
+    }
+
+    fn lock_budget(&self) -> std::sync::MutexGuard<'_, Budget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Creates the response whose body streams from the dispatch process.
+fn respond(answer: &wire::Answer, exchange: Exchange) -> Response {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = Response::builder().status(status);
+    for (name, value) in &answer.headers {
+        if caller::is_returned(name) {
+            response = response.header(name.as_str(), value.as_ref());
+        }
+    }
+    let body = exchange
+        .into_body()
+        .map_or_else(Body::empty, |(incoming, guard)| {
+            Body::from_bytes_stream(stream::unfold(Some((incoming, guard)), next_part))
+        });
+    response.body(body)
+}
+
+type Source = Option<(Incoming, Guard)>;
+
+/// Takes the next part of an answer; an answer that breaks off ends in an error, so that the caller sees it is not whole.
+async fn next_part(source: Source) -> Option<(std::io::Result<bytes::Bytes>, Source)> {
+    let (mut incoming, mut guard) = source?;
+    match incoming.next().await {
+        Ok(Some(part)) => Some((Ok(part), Some((incoming, guard)))),
+        Ok(None) => {
+            guard.finish();
+            None
+        }
+        Err(error) => {
+            let error = std::io::Error::other(error.to_string());
+            Some((Err(error), None))
+        }
+    }
+}
--- a/crates/kumquat-protocol/src/wire.rs
+++ b/crates/kumquat-protocol/src/wire.rs
@@ -36,6 +36,12 @@
     /// More bytes of a body may be sent.
     #[serde(rename = "w")]
     Window(Window),
+    /// Asks for a [`Message::Pong`], so that the sender learns whether the link still works.
+    #[serde(rename = "u")]
+    Ping,
+    /// Answers a [`Message::Ping`].
+    #[serde(rename = "v")]
+    Pong,
     /// Liveness of a VM and the versions that it has.
     #[serde(rename = "h")]
     Heartbeat(Heartbeat),
@@ -378,15 +384,15 @@
     /// Number of the request; the home answers a repeated one as before.
     #[serde(rename = "n")]
     pub sequence: u64,
+    /// Credits for requests that wait now.
+    #[serde(rename = "d")]
+    pub need: u32,
     /// Credits asked for.
     #[serde(rename = "w")]
     pub want: u32,
-    /// Credits spent since the last report.
-    #[serde(rename = "s")]
-    pub spent: u32,
-    /// Credits given back unspent.
+    /// Batch, credits spent and credits returned of earlier batches.
     #[serde(rename = "r")]
-    pub returned: u32,
+    pub reports: Vec<(u64, u32, u32)>,
 }
 
 /// Credits of a team.
