Add the authority and role state machines

The other modules need a common answer to who may act.

A membership change takes one incarnation in or out. Replacing an incarnation in one write is refused, since a majority of the old and one of the new membership of three could then be disjoint.

--- a/crates/kumquat-coordination/src/lib.rs
+++ b/crates/kumquat-coordination/src/lib.rs
@@ -1,1 +1,4 @@
 //! Pure coordination state machines of kumquatpond: membership, ownership, limits and dispatch.
+
+pub mod authority;
+pub mod role;
