--- a/crates/kumquat-coordination/src/lib.rs
+++ b/crates/kumquat-coordination/src/lib.rs
@@ -3,4 +3,6 @@
 //! Each takes events and the monotonic time and returns typed actions, so that the daemons, the model checker, the
 //! randomised runs and the benchmarks run the same code. See `docs/design.md`, section 2.2.
 
+pub mod authority;
+pub mod role;
 pub mod routing;
