Add the rate limit of one team over all VMs

Cause: a team's rate and burst have to hold over all VMs together, while a request to the home for each call would cost a round trip each. Asks carry a sequence number and per-batch totals, so duplicated and late ones change nothing. A new issuer accrues nothing for the first 303 ms: level zero alone is not enough, because the old home's burst and the new home's first credits can fall into one window.

--- a/crates/kumquat-coordination/src/lib.rs
+++ b/crates/kumquat-coordination/src/lib.rs
@@ -1,1 +1,3 @@
 //! Pure coordination state machines of kumquatpond: membership, ownership, limits and dispatch.
+
+pub mod limit;
--- /dev/null
+++ b/crates/kumquat-coordination/src/limit/issuer.rs
@@ -0,0 +1,273 @@
+//! The exact token bucket at the team's home VM.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use kumquat_state::clock::{self, Instant};
+use kumquat_state::ledger::Holder;
+
+use super::{Ask, Credit, LIFETIME, Report};
+
+/// Parts per credit: one credit per second accrues one part per microsecond, so that no rounding ever occurs.
+const PARTS: u64 = 1_000_000;
+
+/// Time after which the record of a silent share is dropped; its batches have expired long before.
+const FORGET_AFTER: Duration = Duration::from_secs(10);
+
+/// Longest wait that a caller is told.
+const RETRY_LIMIT: Duration = Duration::from_secs(1);
+
+/// Issues the credits of one team.
+///
+/// `level + outstanding <= burst` holds at all times. Credits that are neither reported as spent nor returned count as
+/// spent when they expire.
+#[derive(Clone, Debug)]
+pub struct Issuer {
+    rate: u32,
+    burst: u32,
+    /// Credits that may be issued, in [`PARTS`].
+    level: u64,
+    /// Time up to which credits have accrued.
+    accrued: Instant,
+    /// Credits issued and not yet known as spent, returned or expired.
+    outstanding: u32,
+    /// Batches in the order of their expiry.
+    batches: VecDeque<Batch>,
+    /// Shares, sorted by holder.
+    accounts: Vec<Account>,
+}
+
+#[derive(Clone, Debug)]
+struct Batch {
+    holder: Holder,
+    sequence: u64,
+    count: u32,
+    spent: u32,
+    returned: u32,
+    until: Instant,
+}
+
+#[derive(Clone, Debug)]
+struct Account {
+    holder: Holder,
+    /// Answer to the latest ask, repeated when the ask arrives again.
+    credit: Credit,
+    /// Whether the latest ask got less than it needed.
+    short: bool,
+    seen: Instant,
+}
+
+impl Issuer {
+    /// Creates the bucket at level zero.
+    ///
+    /// No credit accrues before the credits of an earlier home must have expired. Without this pause, a window that
+    /// starts after the change of homes could see the earlier home's whole burst and, on top of it, the credits that
+    /// accrued between the change and the start of the window.
+    #[must_use]
+    pub fn new(rate: u32, burst: u32, now: Instant) -> Self {
+        Self {
+            rate,
+            burst,
+            level: 0,
+            accrued: now + clock::lengthened(LIFETIME),
+            outstanding: 0,
+            batches: VecDeque::new(),
+            accounts: Vec::new(),
+        }
+    }
+
+    /// Changes rate and burst from now on.
+    pub fn configure(&mut self, now: Instant, rate: u32, burst: u32) {
+        self.advance(now);
+        self.rate = rate;
+        self.burst = burst;
+        self.level = self.level.min(self.room());
+        self.check();
+    }
+
+    /// Takes the reports of a share and issues credits to it.
+    ///
+    /// An ask that arrives twice gets the same answer, and one that was overtaken by a later ask of the same share gets
+    /// nothing; neither changes the bucket.
+    pub fn request(&mut self, now: Instant, holder: &Holder, ask: &Ask) -> Credit {
+        self.advance(now);
+        let place = self
+            .accounts
+            .binary_search_by(|account| account.holder.cmp(holder));
+        if let Ok(index) = place {
+            let last = self.accounts[index].credit;
+            if ask.sequence == last.sequence {
+                return last;
+            }
+            if ask.sequence < last.sequence {
+                return Credit {
+                    sequence: ask.sequence,
+                    count: 0,
+                    expires_in: LIFETIME,
+                    retry_after: None,
+                };
+            }
+        }
+
+        // Reports come first, because a returned credit may answer this very ask.
+        for report in &ask.reports {
+            self.settle(holder, report);
+        }
+
+        let available = u32::try_from(self.level / PARTS).unwrap_or(u32::MAX);
+        let need = ask.need.min(ask.want);
+        let count = if available <= need {
+            available
+        } else {
+            // Credits for expected demand never take all that is left, because another share may need some at once.
+            need + (ask.want - need).min((available - need) / 2)
+        };
+        if count > 0 {
+            self.level -= u64::from(count) * PARTS;
+            self.outstanding += count;
+            self.batches.push_back(Batch {
+                holder: holder.clone(),
+                sequence: ask.sequence,
+                count,
+                spent: 0,
+                returned: 0,
+                until: now + clock::lengthened(LIFETIME),
+            });
+        }
+        let short = count < need;
+        let retry_after =
+            (short && !self.is_returnable(holder)).then(|| self.retry_after(now, need - count));
+        let credit = Credit {
+            sequence: ask.sequence,
+            count,
+            expires_in: LIFETIME,
+            retry_after,
+        };
+
+        let account = Account {
+            holder: holder.clone(),
+            credit,
+            short,
+            seen: now,
+        };
+        match place {
+            Ok(index) => self.accounts[index] = account,
+            Err(index) => self.accounts.insert(index, account),
+        }
+        self.accounts
+            .retain(|account| now.saturating_since(account.seen) < FORGET_AFTER);
+        self.check();
+        credit
+    }
+
+    /// Returns the whole credits that can be issued now.
+    pub fn level(&mut self, now: Instant) -> u32 {
+        self.advance(now);
+        u32::try_from(self.level / PARTS).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the credits that shares may still spend.
+    #[must_use]
+    pub fn outstanding(&self) -> u32 {
+        self.outstanding
+    }
+
+    /// Lets credits accrue and batches expire in the order of time.
+    ///
+    /// Each expiry is handled at its own instant: credits that accrue up to it see the room that the batch still takes.
+    fn advance(&mut self, now: Instant) {
+        while let Some(batch) = self.batches.front() {
+            if batch.until > now {
+                break;
+            }
+            let until = batch.until;
+            self.accrue(until);
+            if let Some(batch) = self.batches.pop_front() {
+                self.outstanding -= batch.left();
+            }
+        }
+        self.accrue(now);
+        self.check();
+    }
+
+    fn accrue(&mut self, now: Instant) {
+        if now <= self.accrued {
+            return;
+        }
+        let micros = now.as_micros() - self.accrued.as_micros();
+        let gain = micros.saturating_mul(u64::from(self.rate));
+        self.level = self.level.saturating_add(gain).min(self.room());
+        self.accrued = now;
+    }
+
+    /// Returns the highest level that leaves the invariant intact.
+    fn room(&self) -> u64 {
+        u64::from(self.burst.saturating_sub(self.outstanding)) * PARTS
+    }
+
+    fn settle(&mut self, holder: &Holder, report: &Report) {
+        let Some(index) = self
+            .batches
+            .iter()
+            .position(|batch| batch.sequence == report.batch && batch.holder == *holder)
+        else {
+            return;
+        };
+        let batch = &mut self.batches[index];
+        let before = batch.left();
+        batch.spent = report
+            .spent
+            .clamp(batch.spent, batch.count - batch.returned);
+        let returned = report
+            .returned
+            .clamp(batch.returned, batch.count - batch.spent);
+        let back = returned - batch.returned;
+        batch.returned = returned;
+        self.outstanding -= before - batch.left();
+        if batch.left() == 0 {
+            self.batches.remove(index);
+        }
+
+        // The cap matters only after the burst has been lowered.
+        self.level = (self.level + u64::from(back) * PARTS).min(self.room());
+    }
+
+    /// Returns whether another share holds credits that it may give back: one whose latest ask left no request waiting.
+    ///
+    /// A share that got too little spends what it holds at once, so its credits are as good as spent.
+    fn is_returnable(&self, holder: &Holder) -> bool {
+        self.accounts.iter().any(|account| {
+            !account.short
+                && account.holder != *holder
+                && self
+                    .batches
+                    .iter()
+                    .any(|batch| batch.holder == account.holder)
+        })
+    }
+
+    fn retry_after(&self, now: Instant, missing: u32) -> Duration {
+        if self.rate == 0 {
+            return RETRY_LIMIT;
+        }
+        let parts = (u64::from(missing) * PARTS).saturating_sub(self.level);
+        let micros = parts.div_ceil(u64::from(self.rate));
+        (now.until(self.accrued) + Duration::from_micros(micros)).min(RETRY_LIMIT)
+    }
+
+    fn check(&self) {
+        debug_assert!(
+            self.level <= self.room(),
+            "level {} parts and {} outstanding credits exceed the burst of {}",
+            self.level,
+            self.outstanding,
+            self.burst
+        );
+    }
+}
+
+impl Batch {
+    fn left(&self) -> u32 {
+        self.count - self.spent - self.returned
+    }
+}
