--- a/crates/kumquat-coordination/src/lib.rs
+++ b/crates/kumquat-coordination/src/lib.rs
@@ -4,5 +4,6 @@
 //! randomised runs and the benchmarks run the same code. See `docs/design.md`, section 2.2.
 
 pub mod authority;
+pub mod limit;
 pub mod role;
 pub mod routing;
