--- a/crates/kumquat-entry/src/admission.rs
+++ b/crates/kumquat-entry/src/admission.rs
@@ -122,10 +122,7 @@
     }
 
     fn counter(&self, team: &ident::Team) -> Arc<Counter> {
-        let mut counters = self
-            .counters
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
         match counters.binary_search_by(|(name, _)| name.cmp(team)) {
             Ok(index) => Arc::clone(&counters[index].1),
             Err(index) => {
@@ -258,7 +255,11 @@
     counter.wake.notify_one();
 }
 
-async fn ask_home(context: &Context, team: &ident::Team, ask: &limit::Ask) -> Result<limit::Credit> {
+async fn ask_home(
+    context: &Context,
+    team: &ident::Team,
+    ask: &limit::Ask,
+) -> Result<limit::Credit> {
     let role = Name::Home { team: team.clone() };
     let ledger = context
         .config
@@ -270,12 +271,7 @@
         .ok_or_else(|| Error::connect("the team has no home yet"))?;
     let result = exchange(context, member, team, ask).await;
     match result {
-        Ok(credit) if credit.acting => Ok(limit::Credit {
-            sequence: credit.sequence,
-            count: credit.count,
-            expires_in: Duration::from_millis(u64::from(credit.expires_ms)),
-            retry_after: credit.retry_after_us.map(Duration::from_micros),
-        }),
+        Ok(credit) if credit.acting => Ok(limit::Credit::from(&credit)),
         Ok(_) => {
             context.memory.failed(&ledger, &role, rank);
             Err(Error::Closed)
@@ -294,16 +290,5 @@
     ask: &limit::Ask,
 ) -> Result<Credit> {
     let connection = context.pool.connection(member).await?;
-    let request = CreditRequest {
-        team: team.clone(),
-        sequence: ask.sequence,
-        need: ask.need,
-        want: ask.want,
-        reports: ask
-            .reports
-            .iter()
-            .map(|report| (report.batch, report.spent, report.returned))
-            .collect(),
-    };
-    connection.credits(request).await
+    connection.credits(CreditRequest::new(team, ask)).await
 }
--- a/crates/kumquat-entry/src/answer.rs
+++ b/crates/kumquat-entry/src/answer.rs
@@ -67,7 +67,11 @@
     /// Creates the refusal that follows from the last failed try.
     #[must_use]
     pub fn from_try(reason: Reason, may_have_run: bool, retry_after: Duration) -> Self {
-        let outcome = if may_have_run { Outcome::Unknown } else { Outcome::NotRun };
+        let outcome = if may_have_run {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        };
         let (status, reason, message) = describe(reason, outcome);
         Self {
             status,
@@ -122,11 +126,9 @@
                 "team",
                 "the kumquat-team header has to name a known team",
             ),
-            Rejection::Hidden => Self::invalid(
-                StatusCode::NOT_FOUND,
-                "route",
-                "no route matches the path",
-            ),
+            Rejection::Hidden => {
+                Self::invalid(StatusCode::NOT_FOUND, "route", "no route matches the path")
+            }
         }
     }
 }
@@ -145,11 +147,9 @@
             "the upstream did not answer in time",
         ),
         (Reason::QueueFull, _) => (unavailable, "queue-full", "too many requests are waiting"),
-        (Reason::NoOwner | Reason::NotActing, _) => (
-            unavailable,
-            "no-owner",
-            "the key's owner is changing",
-        ),
+        (Reason::NoOwner | Reason::NotActing, _) => {
+            (unavailable, "no-owner", "the key's owner is changing")
+        }
         (Reason::Draining, _) => (unavailable, "draining", "the process is shutting down"),
         (Reason::OverRate, _) => (
             StatusCode::TOO_MANY_REQUESTS,
--- a/crates/kumquat-entry/src/balance.rs
+++ b/crates/kumquat-entry/src/balance.rs
@@ -70,7 +70,9 @@
             slots: load.slots,
             service_time: Duration::from_micros(u64::from(load.attempt_us)),
         };
-        self.update(role, |balance, centre| balance.on_answer(now, centre, Some(load)));
+        self.update(role, |balance, centre| {
+            balance.on_answer(now, centre, Some(load))
+        });
     }
 
     /// Notes that a group failed to answer.
@@ -105,7 +107,11 @@
         target::data_centres(bundle, service)
             .into_iter()
             .map(|data_centre| Candidate {
-                distance: if data_centre == self.own { Duration::ZERO } else { DISTANCE },
+                distance: if data_centre == self.own {
+                    Duration::ZERO
+                } else {
+                    DISTANCE
+                },
                 data_centre,
             })
             .collect()
--- a/crates/kumquat-entry/src/caller.rs
+++ b/crates/kumquat-entry/src/caller.rs
@@ -74,7 +74,9 @@
         }
         (Access::Internal, Side::Public) => Err(Rejection::Hidden),
         (Access::Internal, Side::Internal) => {
-            let name = headers.get(TEAM_HEADER).and_then(|value| value.to_str().ok());
+            let name = headers
+                .get(TEAM_HEADER)
+                .and_then(|value| value.to_str().ok());
             let name: ident::Team = name
                 .and_then(|name| name.parse().ok())
                 .ok_or(Rejection::Team)?;
@@ -104,7 +106,12 @@
     headers
         .iter()
         .filter(|(name, _)| is_forwarded(name) && !named.iter().any(|other| other == name.as_str()))
-        .map(|(name, value)| (name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes())))
+        .map(|(name, value)| {
+            (
+                name.as_str().to_owned(),
+                Bytes::copy_from_slice(value.as_bytes()),
+            )
+        })
         .collect()
 }
 
--- a/crates/kumquat-entry/src/documents.rs
+++ b/crates/kumquat-entry/src/documents.rs
@@ -79,7 +79,9 @@
     let known_bundle = config.bundle().map_or(0, |bundle| bundle.version.0);
     let known_ledger = config.ledger().map_or(0, |ledger| ledger.revision.0);
     for (kind, known) in [(Kind::Bundle, known_bundle), (Kind::Ledger, known_ledger)] {
-        link.sender.send(Message::Pull(Pull { kind, known })).await?;
+        link.sender
+            .send(Message::Pull(Pull { kind, known }))
+            .await?;
     }
 
     let mut bundle = Assembly::default();
--- a/crates/kumquat-entry/src/gateway.rs
+++ b/crates/kumquat-entry/src/gateway.rs
@@ -136,7 +136,11 @@
 
         let name = call.service.name.clone();
         let result = shared.router.route(call).await;
-        let outcome = if result.is_ok() { "answered" } else { "refused" };
+        let outcome = if result.is_ok() {
+            "answered"
+        } else {
+            "refused"
+        };
         shared
             .metrics
             .requests
@@ -220,11 +224,19 @@
 
         if headers > limits.headers {
             let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
-            return Err(Refusal::invalid(status, "headers", "the headers are too large"));
+            return Err(Refusal::invalid(
+                status,
+                "headers",
+                "the headers are too large",
+            ));
         }
         if target > limits.target {
             let status = StatusCode::URI_TOO_LONG;
-            return Err(Refusal::invalid(status, "target", "the path and query are too long"));
+            return Err(Refusal::invalid(
+                status,
+                "target",
+                "the path and query are too long",
+            ));
         }
         if body > limits.body {
             return Err(refuse_body(Problem::TooLarge));
--- a/crates/kumquat-entry/src/links.rs
+++ b/crates/kumquat-entry/src/links.rs
@@ -126,7 +126,11 @@
     /// # Errors
     ///
     /// Returns [`Error::Closed`] if the request certainly was not sent.
-    pub async fn request(&self, has_body: bool, build: impl FnOnce(u64) -> Message) -> Result<Exchange> {
+    pub async fn request(
+        &self,
+        has_body: bool,
+        build: impl FnOnce(u64) -> Message,
+    ) -> Result<Exchange> {
         let number = self.next_stream.fetch_add(1, Ordering::Relaxed);
         let (head_sender, head) = oneshot::channel();
         let (incoming, feed) = stream::incoming(number, &self.sender);
--- a/crates/kumquat-entry/src/metrics.rs
+++ b/crates/kumquat-entry/src/metrics.rs
@@ -79,7 +79,10 @@
                 "kumquat_entry_hung_up_total",
                 "Requests whose caller closed the connection before the answer.",
             ),
-            running: gauge("kumquat_entry_running_requests", "Requests that are running."),
+            running: gauge(
+                "kumquat_entry_running_requests",
+                "Requests that are running.",
+            ),
             bundle_version: gauge(
                 "kumquat_entry_bundle_version",
                 "Version of the bundle in force.",
--- a/crates/kumquat-entry/src/router.rs
+++ b/crates/kumquat-entry/src/router.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use futures_util::stream;
-use poem::{Body, Response};
 use poem::http::StatusCode;
+use poem::{Body, Response};
 use tokio::time::{sleep, timeout};
 
 use kumquat_coordination::routing::{Attempts, Budget, Cause, Failure, Next};
@@ -207,7 +207,12 @@
         Err(result)
     }
 
-    fn data_centre(&self, bundle: &Bundle, ledger: &Ledger, call: &Call) -> Option<ident::DataCentre> {
+    fn data_centre(
+        &self,
+        bundle: &Bundle,
+        ledger: &Ledger,
+        call: &Call,
+    ) -> Option<ident::DataCentre> {
         match call.key {
             Some(key) => target::owner_data_centre(bundle, ledger, &call.service, key),
             None => self.balance.choose(bundle, &call.service),
--- a/crates/kumquat-entry/src/server.rs
+++ b/crates/kumquat-entry/src/server.rs
@@ -105,7 +105,10 @@
         let admin = acceptor(options.admin).await?;
         let addresses = (
             local(&public, options.listen),
-            internal.as_ref().zip(options.internal).map(|(acceptor, address)| local(acceptor, address)),
+            internal
+                .as_ref()
+                .zip(options.internal)
+                .map(|(acceptor, address)| local(acceptor, address)),
             local(&admin, options.admin),
         );
 
@@ -122,7 +125,11 @@
             options: options.link.clone(),
             trust: Arc::new(options.trust.clone()),
         };
-        tokio::spawn(documents::follow(source, Arc::clone(&config), ended.clone()));
+        tokio::spawn(documents::follow(
+            source,
+            Arc::clone(&config),
+            ended.clone(),
+        ));
         let shared = Arc::new(share(options, &config, &metrics, &ended));
 
         let mut servers = vec![serve(
