Add the queue, the dispatch group and the choice of a group

Cause: entries and dispatch VMs need one state machine that keeps slots exact, puts urgent work first and never runs a request twice by mistake. Change: modules queue (urgent first, start-time fair queueing by team), dispatch (admission, cold start, outlier ejection, hedging, retries) and balance (power of two choices by expected wait).

--- /dev/null
+++ b/crates/kumquat-coordination/src/balance.rs
@@ -0,0 +1,206 @@
+//! The `balance` module provides the choice of a dispatch group for a request of a pool service, at the entry.
+//!
+//! The expected wait comes from the last load report of each group, which travels with its answers, and from the
+//! entry's own requests since then. See `docs/design.md`, section 5, step 3.
+
+use std::time::Duration;
+
+use kumquat_state::clock::Instant;
+use kumquat_state::ident;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+/// Load of a dispatch group, as its VM reports it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Time of the report; the entry replaces it with its own time of receipt.
+    pub at: Instant,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Attempts that run.
+    pub running: u32,
+    /// Attempts that may run at once now.
+    pub slots: u32,
+    /// Mean time that one attempt takes.
+    pub service_time: Duration,
+}
+
+/// Tunable values of the choice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// Difference in expected time up to which the own data centre is preferred.
+    pub near_equal: Duration,
+    /// Time after which a report counts half: the older it is, the less it says.
+    pub half_life: Duration,
+    /// Time for which a group that has just failed is avoided.
+    pub avoid: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            near_equal: Duration::from_micros(500),
+            half_life: Duration::from_millis(20),
+            avoid: Duration::from_millis(500),
+        }
+    }
+}
+
+/// A dispatch group that may answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Data centre of the group.
+    pub data_centre: ident::DataCentre,
+    /// Time of one network round trip to it.
+    pub distance: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    candidate: Candidate,
+    load: Load,
+    /// Requests of this entry that the last report can't include yet.
+    sent_since: u32,
+    /// Requests of this entry without an end yet.
+    in_flight: u32,
+    failed: Option<Instant>,
+}
+
+/// The choice among the dispatch groups of one pool service.
+#[derive(Clone, Debug)]
+pub struct Balance {
+    options: Options,
+    own: ident::DataCentre,
+    /// Sorted by data centre.
+    peers: Vec<Peer>,
+    rng: SmallRng,
+}
+
+impl Balance {
+    /// Creates a balance without groups for an entry in data centre `own`.
+    #[must_use]
+    pub fn new(own: ident::DataCentre, options: Options, seed: u64) -> Self {
+        Self {
+            options,
+            own,
+            peers: Vec::new(),
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Replaces the groups; what is known about those that stay is kept.
+    pub fn set_groups(&mut self, candidates: &[Candidate]) {
+        let mut peers: Vec<Peer> = candidates
+            .iter()
+            .map(|candidate| match self.find(&candidate.data_centre) {
+                Some(index) => Peer {
+                    candidate: candidate.clone(),
+                    ..self.peers[index].clone()
+                },
+                None => Peer {
+                    candidate: candidate.clone(),
+                    load: Load::default(),
+                    sent_since: 0,
+                    in_flight: 0,
+                    failed: None,
+                },
+            })
+            .collect();
+        peers.sort_by(|a, b| a.candidate.data_centre.cmp(&b.candidate.data_centre));
+        self.peers = peers;
+    }
+
+    /// Chooses a group for one request and counts the request as in flight there.
+    pub fn choose(&mut self, now: Instant) -> Option<ident::DataCentre> {
+        let avoid = self.options.avoid;
+        let fresh = |peer: &Peer| {
+            peer.failed
+                .is_none_or(|failed| now.saturating_since(failed) >= avoid)
+        };
+        let eligible = self.peers.iter().filter(|peer| fresh(peer)).count();
+        // If all groups have failed, the choice is among all of them.
+        let all = eligible == 0;
+        let count = if all { self.peers.len() } else { eligible };
+        if count == 0 {
+            return None;
+        }
+        let first = self.rng.random_range(0..count);
+        let second = (first + self.rng.random_range(1..count.max(2))) % count;
+        let mut seen = 0;
+        let mut pair = [None, None];
+        for (index, peer) in self.peers.iter().enumerate() {
+            if all || fresh(peer) {
+                if seen == first {
+                    pair[0] = Some(index);
+                }
+                if seen == second {
+                    pair[1] = Some(index);
+                }
+                seen += 1;
+            }
+        }
+        let (first, second) = (pair[0]?, pair[1]?);
+        let index = if self.cost(now, first) <= self.cost(now, second) {
+            first
+        } else {
+            second
+        };
+        let peer = &mut self.peers[index];
+        peer.sent_since += 1;
+        peer.in_flight += 1;
+        Some(peer.candidate.data_centre.clone())
+    }
+
+    /// Returns the time that a request to a group is expected to take, with the bonus of the own data centre.
+    fn cost(&self, now: Instant, index: usize) -> Duration {
+        let peer = &self.peers[index];
+        let expected = peer.candidate.distance + wait(peer, now, self.options.half_life);
+        if peer.candidate.data_centre == self.own {
+            expected
+        } else {
+            expected + self.options.near_equal
+        }
+    }
+
+    /// Reports the end of a request, with the group's load report if the answer carried one.
+    pub fn on_answer(&mut self, now: Instant, group: &ident::DataCentre, load: Option<Load>) {
+        let Some(index) = self.find(group) else {
+            return;
+        };
+        let peer = &mut self.peers[index];
+        peer.in_flight = peer.in_flight.saturating_sub(1);
+        if let Some(load) = load {
+            peer.load = Load { at: now, ..load };
+            peer.sent_since = 0;
+            peer.failed = None;
+        }
+    }
+
+    /// Reports that a request failed because the group's VM was out of reach or did not act for it.
+    pub fn on_failure(&mut self, now: Instant, group: &ident::DataCentre) {
+        let Some(index) = self.find(group) else {
+            return;
+        };
+        let peer = &mut self.peers[index];
+        peer.in_flight = peer.in_flight.saturating_sub(1);
+        peer.failed = Some(now);
+    }
+
+    fn find(&self, group: &ident::DataCentre) -> Option<usize> {
+        self.peers
+            .binary_search_by(|peer| peer.candidate.data_centre.cmp(group))
+            .ok()
+    }
+}
+
+/// Returns the expected time in the queue and in the upstream.
+fn wait(peer: &Peer, now: Instant, half_life: Duration) -> Duration {
+    let load = &peer.load;
+    let age = now.saturating_since(load.at).as_secs_f64() / half_life.as_secs_f64();
+    let faded = f64::from(load.queued + load.running) * (-age).exp2();
+    let ahead = faded.max(f64::from(peer.in_flight.saturating_sub(peer.sent_since)))
+        + f64::from(peer.sent_since);
+    let slots = f64::from(load.slots.max(1));
+    let excess = (ahead + 1.0 - slots).max(0.0) / slots;
+    load.service_time.mul_f64(1.0 + excess)
+}
--- /dev/null
+++ b/crates/kumquat-coordination/src/dispatch.rs
@@ -0,0 +1,391 @@
+//! The `dispatch` module provides the state machine of one dispatch group: the upstreams of one service in one data
+//! centre, with one exact queue.
+//!
+//! Exactly one VM acts for a group, so slot counts and queue order are exact without any agreement between VMs. See
+//! `docs/design.md`, section 5.
+
+mod action;
+mod admission;
+mod budget;
+mod cold;
+mod hedge;
+mod latency;
+mod outlier;
+mod pump;
+mod request;
+mod retry;
+mod slot;
+mod timer;
+
+use std::time::Duration;
+
+use kumquat_state::bundle::{Class, Kind};
+use kumquat_state::clock::Instant;
+use kumquat_state::ident;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+pub use self::action::{Action, Arrival, Certainty, Outcome, Reason, Upstream};
+use self::admission::Rate;
+use self::budget::Budget;
+use self::cold::Ramp;
+use self::latency::{Histogram, Mean};
+use self::outlier::{Outlier, Verdict};
+use self::request::{Phase, Request};
+use self::slot::{Attempt, Server};
+use self::timer::{Due, Timers};
+use crate::queue::{self, Queue};
+
+/// Tunable values of a group.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Options {
+    /// Bounds of the queue; for keyed services, of the queue of each upstream.
+    pub queue: queue::Options,
+    /// Latency that is assumed until answers have been measured.
+    pub initial_latency: Duration,
+    /// Factor by which the expected wait is raised before it is compared with the time left.
+    pub wait_margin: f64,
+    /// Hedged requests per request sent; the requirement is below 5 %.
+    pub hedge_share: f64,
+    /// Retries per request sent.
+    pub retry_share: f64,
+    /// Most attempts of one request, the hedge included.
+    pub attempts: u8,
+    /// Requests between two that probe an upstream that has become slow.
+    pub probe_interval: u32,
+    /// Longest time after which a refused caller is told to retry.
+    pub longest_retry_after: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            queue: queue::Options::default(),
+            initial_latency: Duration::from_millis(5),
+            wait_margin: 1.25,
+            hedge_share: 0.04,
+            retry_share: 0.1,
+            attempts: 3,
+            probe_interval: 200,
+            longest_retry_after: Duration::from_secs(1),
+        }
+    }
+}
+
+/// Totals since the group was created, for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Requests that arrived.
+    pub arrivals: u64,
+    /// Hedged attempts.
+    pub hedges: u64,
+    /// Retries.
+    pub retries: u64,
+}
+
+/// The state machine of one dispatch group.
+#[derive(Clone, Debug)]
+pub struct Group {
+    kind: Kind,
+    options: Options,
+    rng: SmallRng,
+    /// Sorted by name.
+    servers: Vec<Server>,
+    /// Requests that wait for any upstream; used by pool services only.
+    queue: Queue,
+    weights: Vec<(ident::Team, u32)>,
+    /// Slab of requests; handles are positions in it.
+    requests: Vec<Request>,
+    unused: Vec<u32>,
+    /// Handles by request id, sorted.
+    index: Vec<(u64, u32)>,
+    /// Sorted by id.
+    attempts: Vec<Attempt>,
+    last_attempt: u64,
+    timers: Timers,
+    latency: Histogram,
+    urgent: Rate,
+    hedges: Budget,
+    retries: Budget,
+    since_probe: u32,
+    is_admitting: bool,
+    counters: Counters,
+    scratch: Vec<f64>,
+}
+
+impl Group {
+    /// Creates a group without upstreams.
+    #[must_use]
+    pub fn new(kind: Kind, options: Options, seed: u64) -> Self {
+        let initial = options.initial_latency.as_secs_f64();
+        Self {
+            kind,
+            options,
+            rng: SmallRng::seed_from_u64(seed),
+            servers: Vec::new(),
+            queue: Queue::new(options.queue),
+            weights: Vec::new(),
+            requests: Vec::new(),
+            unused: Vec::new(),
+            index: Vec::new(),
+            attempts: Vec::new(),
+            last_attempt: 0,
+            timers: Timers::default(),
+            latency: Histogram::new(initial),
+            urgent: Rate::default(),
+            hedges: Budget::new(options.hedge_share, 10.0),
+            retries: Budget::saved(options.retry_share, 20.0),
+            since_probe: 0,
+            is_admitting: true,
+            counters: Counters::default(),
+            scratch: Vec::new(),
+        }
+    }
+
+    /// Replaces the upstreams; new ones start cold, and removed ones finish what they run.
+    pub fn set_upstreams(&mut self, now: Instant, upstreams: &[Upstream], out: &mut Vec<Action>) {
+        let mut servers = Vec::with_capacity(upstreams.len());
+        for upstream in upstreams {
+            let mut server = match self.server(&upstream.name) {
+                Some(index) => self.servers[index].clone(),
+                None => self.new_server(upstream),
+            };
+            server.takes_work = upstream.takes_work;
+            server.ramp.slots = upstream.slots;
+            server.ramp.cold_slots = upstream.cold_slots;
+            server.ramp.cold_step = upstream.cold_step.max(1);
+            servers.push(server);
+        }
+        // A removed upstream stays known until its last attempt has ended, because its slots are still taken.
+        for server in &self.servers {
+            let is_removed = upstreams
+                .iter()
+                .all(|upstream| upstream.name != server.name);
+            if is_removed && (server.running > 0 || !server.queue.is_empty()) {
+                let mut server = server.clone();
+                server.takes_work = false;
+                servers.push(server);
+            }
+        }
+        servers.sort_by(|a, b| a.name.cmp(&b.name));
+        let old = std::mem::replace(&mut self.servers, servers);
+        for position in 0..self.attempts.len() {
+            let name = &old[self.attempts[position].server].name;
+            if let Some(index) = self.server(name) {
+                self.attempts[position].server = index;
+            }
+        }
+        for request in &mut self.requests {
+            request.last_server = None;
+        }
+        // Requests that wait for an upstream that takes no work would wait in vain.
+        if self.servers.iter().all(|server| !server.takes_work) {
+            for handle in self.queue.drain() {
+                self.refuse(handle, Reason::NoUpstream, f64::INFINITY, out);
+            }
+        }
+        for index in 0..self.servers.len() {
+            if !self.servers[index].takes_work {
+                for handle in self.servers[index].queue.drain() {
+                    self.refuse(handle, Reason::NoUpstream, 0.0, out);
+                }
+            }
+        }
+        self.pump(now, out);
+    }
+
+    fn new_server(&self, upstream: &Upstream) -> Server {
+        let mut queue = Queue::new(self.options.queue);
+        queue.set_weights(&self.weights);
+        Server {
+            name: upstream.name.clone(),
+            running: 0,
+            takes_work: upstream.takes_work,
+            boot: None,
+            ramp: Ramp::new(upstream.slots, upstream.cold_slots, upstream.cold_step),
+            outlier: Outlier::new(),
+            recent: Mean::new(self.latency.median()),
+            queue,
+        }
+    }
+
+    /// Sets the weights of the teams.
+    pub fn set_weights(&mut self, weights: &[(ident::Team, u32)]) {
+        self.weights = weights.to_vec();
+        self.queue.set_weights(weights);
+        for server in &mut self.servers {
+            server.queue.set_weights(weights);
+        }
+    }
+
+    /// Reports the boot id of an upstream; a changed one turns the upstream cold.
+    pub fn set_boot(
+        &mut self,
+        _now: Instant,
+        upstream: &ident::Upstream,
+        boot: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(index) = self.server(upstream) else {
+            return;
+        };
+        let previous = self.servers[index].boot.replace(boot);
+        if previous.is_some_and(|previous| previous != boot) {
+            self.turn_cold(index, out);
+        }
+    }
+
+    /// Handles a new request: sends it, queues it or refuses it.
+    ///
+    /// An id that is in use is ignored, because its first request still has its own result to come.
+    pub fn arrive(&mut self, now: Instant, arrival: Arrival, out: &mut Vec<Action>) {
+        let Err(position) = self
+            .index
+            .binary_search_by_key(&arrival.id, |entry| entry.0)
+        else {
+            return;
+        };
+        self.counters.arrivals += 1;
+        if arrival.class == Class::Urgent {
+            self.urgent.count(now);
+        }
+        let target = arrival.target.as_ref().map(|name| {
+            self.server(name)
+                .filter(|index| self.servers[*index].takes_work)
+        });
+        let handle = self.insert(position, arrival);
+        if !self.is_admitting {
+            self.refuse(handle, Reason::Stopping, 0.0, out);
+            return;
+        }
+        let server = match (self.kind, target) {
+            (Kind::Pool, _) if self.servers.iter().any(Server::is_usable) => None,
+            (Kind::Keyed, Some(Some(index))) => Some(index),
+            _ => {
+                self.refuse(handle, Reason::NoUpstream, f64::INFINITY, out);
+                return;
+            }
+        };
+        let request = &self.requests[handle as usize];
+        let (class, deadline) = (request.class, request.deadline);
+        let forecast = self.forecast(now, &request.team, class, server);
+        if !self.is_in_time(now, deadline, forecast) {
+            self.refuse(handle, Reason::Overload, forecast.wait, out);
+            return;
+        }
+        let team = &self.requests[handle as usize].team;
+        let queue = match server {
+            Some(index) => &mut self.servers[index].queue,
+            None => &mut self.queue,
+        };
+        if queue.push(team, class, handle).is_err() {
+            self.refuse(handle, Reason::QueueFull, forecast.wait, out);
+            return;
+        }
+        self.pump(now, out);
+        let request = &self.requests[handle as usize];
+        if request.phase != Phase::Unused {
+            let id = request.id;
+            self.timers.add(deadline, Due::Deadline(id));
+            if request.phase == Phase::Waiting {
+                let last = deadline - seconds(forecast.typical);
+                self.timers.add(last.max(now), Due::LastChance(id));
+            }
+        }
+    }
+
+    /// Reports that the answer of an attempt has begun: from now on it is the request's result.
+    pub fn on_started(&mut self, _now: Instant, attempt: u64, out: &mut Vec<Action>) {
+        let Some(handle) = self.attempt(attempt).and_then(|entry| entry.request) else {
+            return;
+        };
+        let request = &mut self.requests[handle as usize];
+        if request.is_delivered {
+            return;
+        }
+        request.is_delivered = true;
+        request.running = 1;
+        out.push(Action::Deliver {
+            id: request.id,
+            attempt,
+        });
+        self.abort_others(handle, attempt, out);
+    }
+
+    /// Gives up a request on behalf of its caller.
+    pub fn cancel(&mut self, now: Instant, id: u64, out: &mut Vec<Action>) {
+        let Some(handle) = self.handle(id) else {
+            return;
+        };
+        self.end(handle, Reason::Cancelled, out);
+        self.pump(now, out);
+    }
+
+    /// Does everything that is due.
+    pub fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.reinstate(now, out);
+        while let Some(due) = self.timers.pop(now) {
+            match due {
+                Due::Deadline(id) => self.expire(now, id, out),
+                Due::LastChance(id) => self.last_chance(now, id, out),
+                Due::Retry(id) => {
+                    if let Some(handle) = self.handle(id) {
+                        self.requeue(handle, out);
+                    }
+                }
+                Due::Hedge(attempt) => self.hedge(now, attempt, out),
+                Due::Overdue(attempt) => self.overdue(now, attempt, out),
+            }
+        }
+        self.pump(now, out);
+    }
+
+    /// Refuses all further arrivals; requests that have been admitted are completed.
+    pub fn stop_admission(&mut self) {
+        self.is_admitting = false;
+    }
+
+    /// Returns whether no request is known and no attempt is running.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.index.is_empty() && self.attempts.is_empty()
+    }
+
+    /// Returns the time at which [`Group::tick`] has to be called next.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Option<Instant> {
+        let reinstatement = self
+            .servers
+            .iter()
+            .filter_map(|server| match server.outlier.verdict {
+                Verdict::Ejected(until) => Some(until),
+                Verdict::Good | Verdict::Suspect(_) => None,
+            });
+        self.timers.next().into_iter().chain(reinstatement).min()
+    }
+
+    /// Returns the totals since the group was created.
+    #[must_use]
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    fn attempt(&self, id: u64) -> Option<&Attempt> {
+        let position = self
+            .attempts
+            .binary_search_by_key(&id, |attempt| attempt.id)
+            .ok()?;
+        Some(&self.attempts[position])
+    }
+
+    fn server(&self, name: &ident::Upstream) -> Option<usize> {
+        self.servers
+            .binary_search_by(|server| server.name.cmp(name))
+            .ok()
+    }
+}
+
+/// Converts estimates, which are in seconds, to a duration.
+fn seconds(value: f64) -> Duration {
+    Duration::try_from_secs_f64(value).unwrap_or(Duration::MAX)
+}
--- /dev/null
+++ b/crates/kumquat-coordination/src/dispatch/cold.rs
@@ -0,0 +1,137 @@
+//! The `cold` module provides the concurrency limit of one upstream and its cold start (slow start).
+//!
+//! See "Cold start" in `docs/design.md`, section 5.
+
+use super::latency::Mean;
+
+/// Rise of the recent latency above the upstream's own baseline that counts as a cold start.
+const SHARP_RISE: f64 = 3.0;
+
+/// Latency, relative to the baseline, up to which an upstream counts as warm again.
+const NORMAL: f64 = 2.0;
+
+/// Samples that a baseline needs before a rise against it counts.
+const BASELINE_SAMPLES: u32 = 16;
+
+/// Weight of a new sample in the baseline; it follows slow changes but not a cold start.
+const BASELINE_WEIGHT: f64 = 1.0 / 64.0;
+
+/// Sheds among the last eight attempts that count as a cold start.
+const SHEDS: u32 = 2;
+
+/// Ramp lengths after which a still slow upstream is taken as it is: its latency is the new baseline.
+const PATIENCE: u32 = 8;
+
+/// Concurrency limit of one upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct Ramp {
+    pub(crate) slots: u32,
+    pub(crate) cold_slots: u32,
+    pub(crate) cold_step: u32,
+    cold: bool,
+    completed: u32,
+    /// Grows with each cold start, so that completions of earlier attempts don't count.
+    period: u32,
+    baseline: Mean,
+    /// Outcomes of the last eight attempts, one bit each, set for a shed.
+    sheds: u8,
+}
+
+impl Ramp {
+    /// Creates the limit of a cold upstream.
+    pub(crate) fn new(slots: u32, cold_slots: u32, cold_step: u32) -> Self {
+        Self {
+            slots,
+            cold_slots,
+            cold_step: cold_step.max(1),
+            cold: true,
+            completed: 0,
+            period: 0,
+            baseline: Mean::new(0.0),
+            sheds: 0,
+        }
+    }
+
+    pub(crate) fn is_cold(&self) -> bool {
+        self.cold
+    }
+
+    pub(crate) fn period(&self) -> u32 {
+        self.period
+    }
+
+    /// Returns how many requests may run at once.
+    pub(crate) fn limit(&self) -> u32 {
+        if self.cold {
+            // A limit of zero would keep the upstream cold for ever.
+            self.cold_slots
+                .max(1)
+                .saturating_add(self.completed / self.cold_step)
+                .min(self.slots)
+        } else {
+            self.slots
+        }
+    }
+
+    /// Returns whether the limit is at its full height, cold or not.
+    pub(crate) fn is_full(&self) -> bool {
+        self.limit() >= self.slots
+    }
+
+    /// Starts a cold start.
+    pub(crate) fn chill(&mut self) {
+        self.cold = true;
+        self.completed = 0;
+        self.period += 1;
+        self.sheds = 0;
+    }
+
+    /// Counts a completed attempt that was sent in `period`; returns whether the upstream has become warm.
+    pub(crate) fn complete(&mut self, period: u32, recent: Mean, group: f64) -> bool {
+        self.sheds <<= 1;
+        if !self.cold || period != self.period {
+            return false;
+        }
+        self.completed = self.completed.saturating_add(1);
+        if !self.is_full() {
+            return false;
+        }
+        let known = self.baseline.samples() >= BASELINE_SAMPLES;
+        let reference = if known { self.baseline.value() } else { group };
+        let ramp = self.cold_step.saturating_mul(self.slots.max(1));
+        let patient = self.completed >= ramp.saturating_mul(PATIENCE);
+        if patient {
+            self.baseline = Mean::new(recent.value());
+        }
+        if patient || recent.value() <= reference * NORMAL {
+            self.cold = false;
+            return true;
+        }
+        false
+    }
+
+    /// Adds a latency sample to the baseline; returns whether the recent latency shows a cold start.
+    pub(crate) fn is_sharp(&mut self, sample: f64, recent: Mean) -> bool {
+        if self.cold {
+            return false;
+        }
+        if self.baseline.samples() >= BASELINE_SAMPLES
+            && recent.value() > self.baseline.value() * SHARP_RISE
+        {
+            return true;
+        }
+        self.baseline.add_slowly(sample, BASELINE_WEIGHT);
+        false
+    }
+
+    /// Counts a shed attempt; returns whether the sheds show a cold start.
+    pub(crate) fn shed(&mut self) -> bool {
+        self.sheds = (self.sheds << 1) | 1;
+        self.sheds.count_ones() >= SHEDS && (!self.cold || self.limit() > self.cold_slots)
+    }
+
+    /// Returns the baseline if it rests on enough samples.
+    pub(crate) fn baseline(&self) -> Option<f64> {
+        (self.baseline.samples() >= BASELINE_SAMPLES).then(|| self.baseline.value())
+    }
+}
--- /dev/null
+++ b/crates/kumquat-coordination/src/dispatch/hedge.rs
@@ -0,0 +1,141 @@
+//! The `hedge` module provides the choice of an upstream for an attempt, and hedged requests.
+//!
+//! See "Stragglers" in `docs/design.md`, section 5.
+
+use kumquat_state::bundle::Kind;
+use kumquat_state::clock::Instant;
+use rand::RngExt;
+
+use super::request::Phase;
+use super::slot::Attempt;
+use super::timer::Due;
+use super::{Action, Group, outlier, seconds};
+
+impl Group {
+    /// Chooses the upstream with the lowest expected latency among those with a free slot, other than `avoid`.
+    pub(crate) fn pick(&mut self, avoid: Option<usize>) -> Option<usize> {
+        let queued = f64::from(self.queue.len() + 1);
+        let mut best: Option<(f64, usize)> = None;
+        let (healthy_rate, median) = self.healthy();
+        for (index, server) in self.servers.iter().enumerate() {
+            if server.free() == 0 || avoid == Some(index) {
+                continue;
+            }
+            let recent = server.recent.value();
+            // A slow upstream is used only when the queue for the others takes longer, or to learn how it is now.
+            if recent > median * outlier::RATIO
+                && queued / healthy_rate + median < recent
+                && self.since_probe < self.options.probe_interval
+            {
+                continue;
+            }
+            let share = f64::from(server.running + 1) / f64::from(server.limit().max(1));
+            // The jitter breaks ties, so that equal upstreams get equal shares.
+            let score = recent * (1.0 + share) * self.rng.random_range(1.0..1.1);
+            if best.is_none_or(|(lowest, _)| score < lowest) {
+                best = Some((score, index));
+            }
+        }
+        let (_, index) = best?;
+        let slow = self.servers[index].recent.value() > median * outlier::RATIO;
+        self.since_probe = if slow { 0 } else { self.since_probe + 1 };
+        Some(index)
+    }
+
+    /// Returns the rate of the upstreams that are not slow, and the median of the upstreams' latencies.
+    fn healthy(&mut self) -> (f64, f64) {
+        let median = self.median_of_servers();
+        let rate = self
+            .servers
+            .iter()
+            .filter(|server| server.is_usable() && server.recent.value() <= median * outlier::RATIO)
+            .map(super::slot::Server::rate)
+            .sum();
+        (rate, median)
+    }
+
+    /// Returns the lower median of the latencies of the upstreams that take requests.
+    ///
+    /// The lower one is taken so that one straggler of two is seen.
+    pub(crate) fn median_of_servers(&mut self) -> f64 {
+        self.scratch.clear();
+        let values = self
+            .servers
+            .iter()
+            .filter(|server| server.is_usable())
+            .map(|server| server.recent.value());
+        self.scratch.extend(values);
+        if self.scratch.is_empty() {
+            return self.latency.median();
+        }
+        self.scratch.sort_by(f64::total_cmp);
+        self.scratch[(self.scratch.len() - 1) / 2]
+    }
+
+    /// Sends a request to an upstream.
+    pub(crate) fn send(&mut self, now: Instant, handle: u32, server: usize, out: &mut Vec<Action>) {
+        self.last_attempt += 1;
+        let attempt = self.last_attempt;
+        let request = &mut self.requests[handle as usize];
+        request.phase = Phase::Running;
+        request.attempts += 1;
+        request.running += 1;
+        request.last_server = Some(server);
+        let target = &mut self.servers[server];
+        target.running += 1;
+        self.attempts.push(Attempt {
+            id: attempt,
+            request: Some(handle),
+            server,
+            sent: now,
+            period: target.ramp.period(),
+            aborted: false,
+            counted: 0,
+        });
+        out.push(Action::Send {
+            id: request.id,
+            attempt,
+            upstream: target.name.clone(),
+            deadline: request.deadline,
+        });
+        let hedgeable = self.kind == Kind::Pool && request.idempotent && request.running == 1;
+        self.retries.earn();
+        if self.kind == Kind::Pool {
+            self.hedges.earn();
+            if hedgeable && self.servers.len() > 1 {
+                self.timers
+                    .add(now + seconds(self.latency.p95()), Due::Hedge(attempt));
+            }
+            let overdue = self.median_of_servers() * outlier::CLAMP;
+            self.timers
+                .add(now + seconds(overdue), Due::Overdue(attempt));
+        }
+    }
+
+    /// Starts a second attempt of a slow request if the budget and the slots allow it.
+    pub(crate) fn hedge(&mut self, now: Instant, attempt: u64, out: &mut Vec<Action>) {
+        let Some(attempt) = self.attempt(attempt).copied() else {
+            return;
+        };
+        let Some(handle) = attempt.request else {
+            return;
+        };
+        let request = &self.requests[handle as usize];
+        // Waiting requests have the first claim on free slots.
+        if request.is_delivered
+            || request.running > 1
+            || !self.queue.is_empty()
+            || now >= request.deadline
+            || !self.hedges.is_available()
+        {
+            return;
+        }
+        let Some(server) = self.pick(Some(attempt.server)) else {
+            return;
+        };
+        if self.hedges.spend() {
+            self.counters.hedges += 1;
+            self.send(now, handle, server, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kumquat-coordination/src/dispatch/pump.rs
@@ -0,0 +1,149 @@
+//! The `pump` module moves requests between the queue and the slots.
+
+use kumquat_state::bundle::Kind;
+use kumquat_state::clock::Instant;
+
+use super::request::Phase;
+use super::timer::Due;
+use super::{Action, Group, Reason, seconds};
+
+impl Group {
+    /// Sends waiting requests as long as slots are free.
+    pub(crate) fn pump(&mut self, now: Instant, out: &mut Vec<Action>) {
+        match self.kind {
+            Kind::Pool => {
+                while !self.queue.is_empty() {
+                    let Some(server) = self.pick(None) else {
+                        break;
+                    };
+                    let Some(handle) = self.queue.pop() else {
+                        break;
+                    };
+                    // A retry goes to another upstream where one is free.
+                    let server = match self.requests[handle as usize].last_server {
+                        Some(last) if last == server => self.pick(Some(last)).unwrap_or(server),
+                        _ => server,
+                    };
+                    let typical = self.latency.median();
+                    self.send_in_time(now, handle, server, typical, out);
+                }
+            }
+            Kind::Keyed => {
+                for index in 0..self.servers.len() {
+                    while self.servers[index].free() > 0 {
+                        let Some(handle) = self.servers[index].queue.pop() else {
+                            break;
+                        };
+                        let typical = self
+                            .latency
+                            .median()
+                            .min(self.servers[index].recent.value());
+                        self.send_in_time(now, handle, index, typical, out);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Sends a request, or refuses it if too little time is left for an answer.
+    pub(crate) fn send_in_time(
+        &mut self,
+        now: Instant,
+        handle: u32,
+        server: usize,
+        typical: f64,
+        out: &mut Vec<Action>,
+    ) {
+        if now + seconds(typical) >= self.requests[handle as usize].deadline {
+            self.refuse(handle, Reason::Overload, 0.0, out);
+        } else {
+            self.send(now, handle, server, out);
+        }
+    }
+
+    /// Puts a request back into its queue for a retry.
+    pub(crate) fn requeue(&mut self, handle: u32, out: &mut Vec<Action>) {
+        let request = &mut self.requests[handle as usize];
+        if request.phase != Phase::Delayed {
+            return;
+        }
+        request.phase = Phase::Waiting;
+        let class = request.class;
+        let server = match request.target.clone() {
+            Some(name) if self.kind == Kind::Keyed => {
+                let index = self.server(&name);
+                let Some(index) = index.filter(|index| self.servers[*index].takes_work) else {
+                    self.refuse(handle, Reason::NoUpstream, 0.0, out);
+                    return;
+                };
+                Some(index)
+            }
+            _ => None,
+        };
+        let team = &self.requests[handle as usize].team;
+        match server {
+            Some(index) => self.servers[index].queue.push_front(team, class, handle),
+            None => self.queue.push_front(team, class, handle),
+        }
+    }
+
+    /// Ends a request from outside, whatever it is doing.
+    pub(crate) fn end(&mut self, handle: u32, reason: Reason, out: &mut Vec<Action>) {
+        let request = &self.requests[handle as usize];
+        if request.is_delivered {
+            // The result has been given; the rest of the answer is cut off.
+            self.abort_others(handle, 0, out);
+            self.forget(handle);
+            return;
+        }
+        if request.phase == Phase::Waiting {
+            let target = request.target.as_ref().filter(|_| self.kind == Kind::Keyed);
+            match target.and_then(|name| self.server(name)) {
+                Some(index) => {
+                    let queue = &mut self.servers[index].queue;
+                    queue.remove(&request.team, request.class, handle);
+                }
+                None => {
+                    self.queue.remove(&request.team, request.class, handle);
+                }
+            }
+        }
+        self.refuse(handle, reason, 0.0, out);
+    }
+
+    /// Ends a request whose deadline has passed.
+    pub(crate) fn expire(&mut self, now: Instant, id: u64, out: &mut Vec<Action>) {
+        let Some(handle) = self.handle(id) else {
+            return;
+        };
+        // The driver may have used the id again after the request that set the timer.
+        if now < self.requests[handle as usize].deadline {
+            return;
+        }
+        // Upstreams that run a request until its deadline have failed, as those that break the connection have.
+        for position in 0..self.attempts.len() {
+            let attempt = self.attempts[position];
+            if attempt.request == Some(handle) && self.servers[attempt.server].outlier.fail() {
+                self.eject(now, attempt.server, out);
+            }
+        }
+        self.end(handle, Reason::Deadline, out);
+    }
+
+    /// Refuses a waiting request as soon as too little time is left for an answer.
+    pub(crate) fn last_chance(&mut self, now: Instant, id: u64, out: &mut Vec<Action>) {
+        let Some(handle) = self.handle(id) else {
+            return;
+        };
+        let request = &self.requests[handle as usize];
+        if request.phase != Phase::Waiting {
+            return;
+        }
+        let last = request.deadline - seconds(self.latency.median());
+        if last <= now {
+            self.end(handle, Reason::Overload, out);
+        } else {
+            self.timers.add(last, Due::LastChance(id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/kumquat-coordination/src/dispatch/retry.rs
@@ -0,0 +1,280 @@
+//! The `retry` module provides what happens when an attempt ends: delivery, retry or refusal, and the estimates.
+//!
+//! A non-idempotent request is sent again only after an attempt that provably did not run. See `docs/design.md`,
+//! section 5.
+
+use std::time::Duration;
+
+use kumquat_state::bundle::Kind;
+use kumquat_state::clock::Instant;
+use rand::RngExt;
+
+use super::request::Phase;
+use super::slot::Attempt;
+use super::timer::Due;
+use super::{Action, Certainty, Group, Outcome, Reason, outlier, seconds};
+
+/// Delay before the first retry; it doubles with each further one.
+const FIRST_DELAY: Duration = Duration::from_millis(1);
+
+/// Samples that one overdue attempt gives at most, so that one long request alone does not eject its upstream.
+const OVERDUE_SAMPLES: u8 = 3;
+
+impl Group {
+    /// Handles the end of an attempt.
+    ///
+    /// The end has to be reported exactly once per attempt, also for aborted ones, because it frees the slot.
+    pub fn on_answer(
+        &mut self,
+        now: Instant,
+        attempt: u64,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        let Ok(position) = self
+            .attempts
+            .binary_search_by_key(&attempt, |entry| entry.id)
+        else {
+            return;
+        };
+        let attempt = self.attempts.remove(position);
+        self.servers[attempt.server].running -= 1;
+        self.learn(now, &attempt, outcome, out);
+        if let Some(handle) = attempt.request {
+            self.resolve(now, handle, &attempt, outcome, out);
+        }
+        self.pump(now, out);
+    }
+
+    /// Decides about the request of an ended attempt.
+    fn resolve(
+        &mut self,
+        now: Instant,
+        handle: u32,
+        attempt: &Attempt,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        let request = &mut self.requests[handle as usize];
+        request.running -= 1;
+        if request.is_delivered {
+            // The result has been given when the answer began; a break after that is the caller's to see.
+            self.forget(handle);
+            return;
+        }
+        let reason = match outcome {
+            Outcome::Completed { .. } => {
+                let id = request.id;
+                out.push(Action::Deliver {
+                    id,
+                    attempt: attempt.id,
+                });
+                self.abort_others(handle, attempt.id, out);
+                self.forget(handle);
+                return;
+            }
+            Outcome::Shed => Reason::Shed,
+            Outcome::NotConnected => Reason::NotConnected,
+            Outcome::Broken => Reason::Broken,
+            Outcome::TimedOut => Reason::Deadline,
+        };
+        if !outcome.is_not_run() {
+            request.may_have_run = true;
+        }
+        if request.running > 0 {
+            // A hedge is still running and decides about the request.
+            return;
+        }
+        let may_retry = (request.idempotent || !request.may_have_run)
+            && request.attempts < self.options.attempts
+            && now < request.deadline;
+        if may_retry && self.retries.is_available() {
+            let shift = u32::from(request.attempts.saturating_sub(1)).min(6);
+            let longest = FIRST_DELAY.saturating_mul(1 << shift);
+            let delay = longest.mul_f64(self.rng.random_range(0.0..1.0));
+            let request = &mut self.requests[handle as usize];
+            if now + delay + seconds(self.latency.median()) < request.deadline {
+                request.phase = Phase::Delayed;
+                self.timers.add(now + delay, Due::Retry(request.id));
+                self.retries.spend();
+                self.counters.retries += 1;
+                return;
+            }
+        }
+        self.refuse(handle, reason, 0.0, out);
+    }
+
+    /// Updates the estimates of the attempt's upstream.
+    fn learn(&mut self, now: Instant, attempt: &Attempt, outcome: Outcome, out: &mut Vec<Action>) {
+        let latency = now.saturating_since(attempt.sent).as_secs_f64();
+        let index = attempt.server;
+        match outcome {
+            Outcome::Completed { .. } => {
+                self.latency.add(latency);
+                if attempt.counted == 0 {
+                    self.sample(now, index, latency, out);
+                }
+                let group = self.median_of_servers();
+                let server = &mut self.servers[index];
+                server.outlier.succeed();
+                let recent = server.recent;
+                if server.ramp.complete(attempt.period, recent, group) {
+                    out.push(Action::Warm {
+                        upstream: server.name.clone(),
+                    });
+                }
+            }
+            Outcome::Shed => {
+                let server = &mut self.servers[index];
+                if server.ramp.shed() {
+                    self.turn_cold(index, out);
+                }
+                if self.servers[index].outlier.fail() {
+                    self.eject(now, index, out);
+                }
+            }
+            Outcome::NotConnected | Outcome::Broken | Outcome::TimedOut => {
+                if attempt.aborted {
+                    // The time that an aborted attempt took is a lower bound of its latency.
+                    self.latency.add(latency);
+                    return;
+                }
+                if self.servers[index].outlier.fail() {
+                    self.eject(now, index, out);
+                }
+            }
+        }
+    }
+
+    /// Counts an attempt that is overdue as slow before it ends.
+    pub(crate) fn overdue(&mut self, now: Instant, attempt: u64, out: &mut Vec<Action>) {
+        let Ok(position) = self
+            .attempts
+            .binary_search_by_key(&attempt, |entry| entry.id)
+        else {
+            return;
+        };
+        let entry = &mut self.attempts[position];
+        if entry.aborted || entry.counted >= OVERDUE_SAMPLES {
+            return;
+        }
+        entry.counted += 1;
+        let latency = now.saturating_since(entry.sent);
+        let server = entry.server;
+        // A frozen upstream never answers, so an attempt that stays overdue counts again.
+        self.timers.add(now + latency, Due::Overdue(attempt));
+        let latency = latency.as_secs_f64();
+        self.sample(now, server, latency, out);
+    }
+
+    /// Adds a latency sample of an upstream and draws the conclusions.
+    fn sample(&mut self, now: Instant, index: usize, latency: f64, out: &mut Vec<Action>) {
+        let median = self.median_of_servers();
+        let server = &mut self.servers[index];
+        // Keyed upstreams are compared with themselves only, because their keys differ in cost.
+        let reference = match self.kind {
+            Kind::Pool => median,
+            Kind::Keyed => server.ramp.baseline().unwrap_or(latency),
+        };
+        let clamped = latency.min(reference * outlier::CLAMP);
+        server.recent.add(clamped);
+        let recent = server.recent;
+        if server.ramp.is_sharp(clamped, recent) {
+            self.turn_cold(index, out);
+        }
+        if self.kind == Kind::Keyed {
+            // An ejected owner would leave its keys without service; the coordinator moves the slots instead.
+            return;
+        }
+        let median = self.median_of_servers();
+        let server = &mut self.servers[index];
+        let judged = !server.ramp.is_cold() || server.ramp.is_full();
+        if judged && server.outlier.judge(now, recent, median) {
+            self.eject(now, index, out);
+        }
+    }
+
+    /// Ejects an upstream unless too few would stay.
+    pub(crate) fn eject(&mut self, now: Instant, index: usize, out: &mut Vec<Action>) {
+        if self.kind == Kind::Keyed {
+            return;
+        }
+        let total = self
+            .servers
+            .iter()
+            .filter(|server| server.takes_work)
+            .count();
+        let staying = self
+            .servers
+            .iter()
+            .filter(|server| server.is_usable())
+            .count();
+        if staying <= total.div_ceil(2) {
+            return;
+        }
+        let server = &mut self.servers[index];
+        let until = server.outlier.eject(now);
+        out.push(Action::Ejected {
+            upstream: server.name.clone(),
+            until,
+        });
+    }
+
+    /// Ends ejections that have run out; the upstream comes back by slow start.
+    pub(crate) fn reinstate(&mut self, now: Instant, out: &mut Vec<Action>) {
+        for index in 0..self.servers.len() {
+            if self.servers[index].outlier.reinstate(now) {
+                // Its old latency is forgotten, so that only new answers count.
+                let median = self.median_of_servers();
+                let server = &mut self.servers[index];
+                server.recent = super::latency::Mean::new(median);
+                server.ramp.chill();
+                out.push(Action::Reinstated {
+                    upstream: server.name.clone(),
+                });
+            }
+        }
+    }
+
+    /// Puts an upstream back to its cold limit.
+    pub(crate) fn turn_cold(&mut self, index: usize, out: &mut Vec<Action>) {
+        let server = &mut self.servers[index];
+        server.ramp.chill();
+        out.push(Action::TurnedCold {
+            upstream: server.name.clone(),
+        });
+    }
+
+    /// Aborts the running attempts of a request, apart from one; their slots stay taken until their end is reported.
+    pub(crate) fn abort_others(&mut self, handle: u32, winner: u64, out: &mut Vec<Action>) {
+        for attempt in &mut self.attempts {
+            if attempt.request == Some(handle) && attempt.id != winner {
+                attempt.request = None;
+                attempt.aborted = true;
+                out.push(Action::Abort {
+                    attempt: attempt.id,
+                });
+            }
+        }
+    }
+
+    /// Gives a request its final result without an answer.
+    pub(crate) fn refuse(&mut self, handle: u32, reason: Reason, wait: f64, out: &mut Vec<Action>) {
+        let retry_after = self.retry_after(wait);
+        let request = &self.requests[handle as usize];
+        // An attempt that is still running may run to its end, so its request can't be called not run.
+        let outcome = if request.may_have_run || request.running > 0 {
+            Certainty::Unknown
+        } else {
+            Certainty::NotRun
+        };
+        out.push(Action::Refuse {
+            id: request.id,
+            reason,
+            outcome,
+            retry_after,
+        });
+        self.abort_others(handle, 0, out);
+        self.forget(handle);
+    }
+}
