--- a/crates/kumquat-coordination/src/lib.rs
+++ b/crates/kumquat-coordination/src/lib.rs
@@ -4,6 +4,9 @@
 //! randomised runs and the benchmarks run the same code. See `docs/design.md`, section 2.2.
 
 pub mod authority;
+pub mod balance;
+pub mod dispatch;
 pub mod limit;
+pub mod queue;
 pub mod role;
 pub mod routing;
