Add the bundle's INI text, its comparison and change checks

Cause: operators write and review bundles as text, and a mistake in one of them reaches all VMs within seconds. Change: `bundle::text` parses the INI form and reports all problems at once with line, section, key, value, expectation and remedy; lines are checked before rust-ini reads them, because it stops at the first error, accepts keys that span lines and knows no line numbers. Pasted caller keys are never repeated. `render` writes the canonical form. `diff` gives typed changes, `check_change` those that an operator has to confirm.

--- a/crates/kumquat-state/src/bundle.rs
+++ b/crates/kumquat-state/src/bundle.rs
@@ -2,6 +2,9 @@
 //!
 //! All lists are sorted by name, so that lookups are binary searches. See `docs/design.md`, sections 2.1 and 6.
 
+mod change;
+pub mod text;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -9,6 +12,9 @@
 
 use crate::ident;
 
+pub use change::{Change, Edit, Field, Surprise, check_change, diff};
+pub use text::{Problem, parse, render};
+
 /// Everything that operators configure, in one value.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Bundle {
--- /dev/null
+++ b/crates/kumquat-state/src/bundle/text/check.rs
@@ -0,0 +1,169 @@
+//! The `check` module finds problems that concern more than one section.
+
+use super::problem::{Problem, Problems};
+use super::read::{Draft, Placed};
+use super::scan::Section;
+use super::{
+    CALLER_KEY_LIMIT, DATA_CENTRE_LIMIT, PLACEMENT_LIMIT, ROUTE_LIMIT, SERVICE_LIMIT, TEAM_LIMIT,
+    UPSTREAM_LIMIT,
+};
+use crate::bundle::{Kind, Service};
+use crate::ident;
+
+/// Reports duplicates, exceeded limits and contradictions between sections.
+pub(super) fn check(draft: &Draft, sections: &[Section], problems: &mut Problems) {
+    if !sections.iter().any(|section| section.header == "bundle") {
+        problems.push(Problem {
+            section: "bundle".to_owned(),
+            ..Problem::of_file(
+                "a section [bundle] with the version",
+                "add the section with version = .., the version in force plus one",
+            )
+        });
+    }
+    check_headers(sections, problems);
+    check_limits(sections, problems);
+    check_unique(
+        sections,
+        "digest",
+        draft
+            .caller_keys
+            .iter()
+            .map(|key| (key.value.digest, key.section)),
+        problems,
+    );
+    // Two upstreams at one address would receive the load of both.
+    check_unique(
+        sections,
+        "address",
+        draft
+            .upstreams
+            .iter()
+            .map(|upstream| (upstream.value.address, upstream.section)),
+        problems,
+    );
+    let mut services: Vec<&Service> = draft.services.iter().map(|placed| &placed.value).collect();
+    services.sort_by(|a, b| a.name.cmp(&b.name));
+    check_upstreams(draft, &services, sections, problems);
+    check_placements(draft, &services, sections, problems);
+}
+
+fn check_headers(sections: &[Section], problems: &mut Problems) {
+    let mut sorted: Vec<&Section> = sections.iter().collect();
+    sorted.sort_by(|a, b| (&a.header, a.line).cmp(&(&b.header, b.line)));
+    for pair in sorted.windows(2) {
+        if pair[0].header == pair[1].header {
+            problems.push(pair[1].problem(
+                "each section once",
+                format!("merge it with the section in line {}", pair[0].line),
+            ));
+        }
+    }
+}
+
+fn check_limits(sections: &[Section], problems: &mut Problems) {
+    let limits = [
+        ("team", TEAM_LIMIT),
+        ("caller-key", CALLER_KEY_LIMIT),
+        ("service", SERVICE_LIMIT),
+        ("route", ROUTE_LIMIT),
+        ("upstream", UPSTREAM_LIMIT),
+        ("data-centre", DATA_CENTRE_LIMIT),
+        ("placement", PLACEMENT_LIMIT),
+    ];
+    for (kind, limit) in limits {
+        let count = sections
+            .iter()
+            .filter(|section| section.kind() == kind)
+            .count();
+        if count > limit {
+            problems.push(Problem {
+                value: Some(format!("{count} sections")),
+                section: kind.to_owned(),
+                ..Problem::of_file(
+                    format!("at most {limit} sections of this kind"),
+                    "remove sections that are no longer in use",
+                )
+            });
+        }
+    }
+}
+
+fn check_unique<T: Ord>(
+    sections: &[Section],
+    key: &str,
+    values: impl Iterator<Item = (T, usize)>,
+    problems: &mut Problems,
+) {
+    let mut sorted: Vec<(T, usize)> = values.collect();
+    sorted.sort();
+    for pair in sorted.windows(2) {
+        if pair[0].0 == pair[1].0 {
+            let first = &sections[pair[0].1];
+            problems.push(sections[pair[1].1].value_problem(
+                key,
+                "a value that no other section has",
+                format!(
+                    "section [{}] in line {} has it too",
+                    first.header, first.line
+                ),
+            ));
+        }
+    }
+}
+
+fn find<'a>(services: &[&'a Service], name: &ident::Service) -> Option<&'a Service> {
+    let index = services
+        .binary_search_by(|service| service.name.cmp(name))
+        .ok()?;
+    Some(services[index])
+}
+
+fn check_upstreams(
+    draft: &Draft,
+    services: &[&Service],
+    sections: &[Section],
+    problems: &mut Problems,
+) {
+    for Placed { section, value } in &draft.upstreams {
+        let Some(service) = find(services, &value.service) else {
+            continue;
+        };
+        if !service.data_centres.contains(&value.data_centre) {
+            problems.push(sections[*section].value_problem(
+                "data-centre",
+                format!("a data centre that [service {}] lists", service.name),
+                "add it to the service's data-centres, or correct the upstream",
+            ));
+        }
+    }
+}
+
+fn check_placements(
+    draft: &Draft,
+    services: &[&Service],
+    sections: &[Section],
+    problems: &mut Problems,
+) {
+    let mut upstreams: Vec<_> = draft.upstreams.iter().map(|placed| &placed.value).collect();
+    upstreams.sort_by(|a, b| a.name.cmp(&b.name));
+    for Placed { section, value } in &draft.placements {
+        let section = &sections[*section];
+        if find(services, &value.service).is_some_and(|service| service.kind == Kind::Pool) {
+            problems.push(section.problem(
+                "a keyed service",
+                "remove the placement; any upstream of a pool service can answer",
+            ));
+        }
+        let upstream = upstreams
+            .binary_search_by(|upstream| upstream.name.cmp(&value.upstream))
+            .map(|index| upstreams[index]);
+        if upstream.is_ok_and(|upstream| upstream.service != value.service) {
+            problems.push(section.value_problem(
+                "upstream",
+                format!("an upstream of {}", value.service),
+                "choose an upstream of the placement's service",
+            ));
+        }
+    }
+}
--- /dev/null
+++ b/crates/kumquat-state/tests/bundle_change.rs
@@ -0,0 +1,142 @@
+//! Tests of bundle comparison: they guard against changes that an operator does not see before they are in force.
+
+#[path = "fixtures/bundle.rs"]
+mod fixture;
+
+use fixture::TEXT;
+use kumquat_state::bundle::{Bundle, Change, Surprise, check_change, diff, parse};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const SEED: u64 = 22;
+
+type Edits = &'static [(&'static str, &'static str)];
+
+fn edited(edits: Edits) -> Bundle {
+    let mut text = TEXT.to_owned();
+    for (from, to) in edits {
+        assert!(text.contains(from), "{from:?} is not in the text");
+        text = text.replacen(from, to, 1);
+    }
+    parse(&text).unwrap()
+}
+
+fn shown(from: &Bundle, to: &Bundle) -> Vec<String> {
+    diff(from, to).iter().map(Change::to_string).collect()
+}
+
+/// Guards against differences that are left out or shown in the wrong direction.
+#[test]
+fn diff_shows_each_change() {
+    let after = edited(&[
+        ("rate = 100", "rate = 150"),
+        ("state = out", "state = in"),
+        ("[caller-key pilots-1]", "[caller-key pilots-2]"),
+        (
+            "[placement repair-status 0123456789abcdef]\nupstream = repair-01\n",
+            "",
+        ),
+    ]);
+    assert_eq!(
+        shown(&edited(&[]), &after),
+        [
+            "~ data-centre b: state out -> in",
+            "~ team pilots: rate 100 -> 150",
+            "- caller-key pilots-1",
+            "+ caller-key pilots-2: digest \
+             00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff, team pilots",
+            "- placement repair-status 0123456789abcdef",
+        ]
+    );
+}
+
+/// Guards against a comparison that misses parts: replaying all changes onto nothing has to name every part once.
+#[test]
+fn diff_from_nothing_names_every_part() {
+    println!("seed {SEED}");
+    let mut random = StdRng::seed_from_u64(SEED);
+    for _ in 0..50 {
+        let bundle = fixture::random(&mut random, 30);
+        let parts = bundle.teams.len()
+            + bundle.caller_keys.len()
+            + bundle.services.len()
+            + bundle.routes.len()
+            + bundle.upstreams.len()
+            + bundle.data_centres.len()
+            + bundle.placements.len();
+        assert_eq!(diff(&Bundle::default(), &bundle).len(), parts);
+        assert_eq!(diff(&bundle, &Bundle::default()).len(), parts);
+        assert_eq!(diff(&bundle, &bundle), []);
+    }
+}
+
+/// Guards against a mistake that goes live without an explicit word.
+#[test]
+fn surprises_are_found() {
+    type Case = (Edits, &'static [&'static str]);
+    let cases: [Case; 6] = [
+        (&[("rate = 100", "rate = 9999")], &[]),
+        (
+            &[("rate = 100", "rate = 10000")],
+            &["the rate of team pilots changes from 100 to 10000"],
+        ),
+        (
+            &[("rate = 100", "rate = 1")],
+            &["the rate of team pilots changes from 100 to 1"],
+        ),
+        (
+            &[("rate = 100", "rate = 0")],
+            &["team pilots has rate 0: all its requests are refused"],
+        ),
+        (
+            &[(
+                "checks-grants = yes",
+                "checks-grants = yes\nstate = draining",
+            )],
+            &["no upstream of service repair-status takes work"],
+        ),
+        (
+            &[("[data-centre a]\n", "[data-centre a]\nstate = out\n")],
+            &[
+                "no upstream of service repair-status takes work",
+                "all data centres are out of service",
+            ],
+        ),
+    ];
+    for (edits, expected) in cases {
+        let found: Vec<String> = check_change(&edited(&[]), &edited(edits))
+            .iter()
+            .map(Surprise::to_string)
+            .collect();
+        assert_eq!(found, expected, "{edits:?}");
+    }
+}
+
+/// Guards against a bundle that was cut short: half of the parts may go, more may not.
+#[test]
+fn mass_removal_is_a_surprise() {
+    println!("seed {SEED}");
+    let mut before = fixture::random(&mut StdRng::seed_from_u64(SEED), 10);
+    before.teams = (0..10)
+        .map(|index| kumquat_state::bundle::Team {
+            name: format!("t{index}").parse().unwrap(),
+            rate: 5,
+            burst: 5,
+            weight: 1,
+        })
+        .collect();
+    let mut after = before.clone();
+    after.teams.truncate(5);
+    assert_eq!(check_change(&before, &after), []);
+    after.teams.truncate(4);
+    assert_eq!(
+        check_change(&before, &after),
+        [Surprise::TeamsRemoved { removed: 6, of: 10 }]
+    );
+    after = before.clone();
+    after.upstreams.clear();
+    let of = before.upstreams.len();
+    assert!(
+        check_change(&before, &after).contains(&Surprise::UpstreamsRemoved { removed: of, of })
+    );
+}
