Add signed envelopes and the audit trail

Cause: neither the store nor a peer may bring a bundle into force, and every change of who may do what has to leave a trace that can't be altered unnoticed. `audit` holds typed entries without free text, a bounded ring, and segments linked by hashes. The test fixture's text moves to an INI file that four tests share.

--- a/crates/kumquat-state/src/bundle.rs
+++ b/crates/kumquat-state/src/bundle.rs
@@ -3,6 +3,7 @@
 //! All lists are sorted by name, so that lookups are binary searches. See `docs/design.md`, sections 2.1 and 6.
 
 mod change;
+pub mod envelope;
 pub mod text;
 
 use std::net::SocketAddr;
@@ -13,6 +14,7 @@
 use crate::ident;
 
 pub use change::{Change, Edit, Field, Surprise, check_change, diff};
+pub use envelope::{Envelope, Trust};
 pub use text::{Problem, parse, render};
 
 /// Everything that operators configure, in one value.
--- a/crates/kumquat-state/src/lib.rs
+++ b/crates/kumquat-state/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! Nothing here does I/O, apart from [`clock::now`], which reads the system clock. See `docs/design.md`, section 2.1.
 
+pub mod audit;
 pub mod bundle;
 pub mod clock;
 mod codec;
--- a/crates/kumquat-state/tests/bundle_change.rs
+++ b/crates/kumquat-state/tests/bundle_change.rs
@@ -3,11 +3,13 @@
 #[path = "fixtures/bundle.rs"]
 mod fixture;
 
-use fixture::TEXT;
 use kumquat_state::bundle::{Bundle, Change, Surprise, check_change, diff, parse};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+/// A small bundle text without problems.
+const TEXT: &str = include_str!("fixtures/bundle.ini");
+
 const SEED: u64 = 22;
 
 type Edits = &'static [(&'static str, &'static str)];
--- a/crates/kumquat-state/tests/bundle_text.rs
+++ b/crates/kumquat-state/tests/bundle_text.rs
@@ -3,20 +3,22 @@
 #[path = "fixtures/bundle.rs"]
 mod fixture;
 
-use fixture::TEXT;
 use kumquat_state::bundle::{Problem, State, parse, render, text};
 use kumquat_state::ident::Version;
 use quickcheck::{Gen, QuickCheck};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+/// A small bundle text without problems.
+const TEXT: &str = include_str!("fixtures/bundle.ini");
+
 const SEED: u64 = 21;
 
 fn problems(text: &str) -> Vec<Problem> {
     parse(text).expect_err("the text has problems")
 }
 
-/// Parses the sample text with one line replaced, and returns the line, key and expectation of the only problem.
+/// Parses the sample text with one line replaced, and returns the only problem.
 fn only_problem(from: &str, to: &str) -> Problem {
     assert!(TEXT.contains(from), "{from:?} is not in the text");
     let found = problems(&TEXT.replacen(from, to, 1));
