Add time-bounded grants of slots to one upstream

Cause: a slot may move only once its owner has released it or must have lost it, and orders, replies and VMs can be lost, late, frozen or replaced. A repeat of the order in force is accepted again: a rejection would make the grantor forget a grant that is in force. Placed keys are granted and withheld singly.

--- /dev/null
+++ b/crates/kumquat-coordination/src/grant.rs
@@ -0,0 +1,117 @@
+//! The `grant` module provides the time-bounded grants of slots from a dispatching VM to one upstream.
+//!
+//! A [`Grantor`] runs on the dispatching VM for each upstream, a [`Held`] in the upstream. See `docs/design.md`,
+//! section 4, "Grants".
+
+mod grantor;
+mod held;
+
+use std::time::Duration;
+
+use kumquat_state::clock::Instant;
+use kumquat_state::ident::{Epoch, Fence, Slot};
+
+pub use grantor::{Grantor, Options};
+pub use held::{Held, Rejection};
+
+/// Time for which a grant lasts, in the upstream's clock and from the clock value of its last reply.
+pub const LIFETIME: Duration = Duration::from_millis(800);
+
+/// Time after which a grant is renewed; three renewals may be lost before the grant expires.
+pub const RENEW_EVERY: Duration = Duration::from_millis(250);
+
+/// One run of an upstream: a restarted upstream has another boot id and remembers no grant.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Boot(pub u64);
+
+/// A range of slots, both ends included.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Span {
+    /// First slot.
+    pub first: Slot,
+    /// Last slot.
+    pub last: Slot,
+    /// Epoch at which the ownership began.
+    pub epoch: Epoch,
+}
+
+/// What a request works on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Target {
+    /// Slot of the key.
+    pub slot: Slot,
+    /// Hash of the key.
+    pub key: u64,
+}
+
+/// Everything that an upstream owns, or is granted by one order.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Grants {
+    /// Slots, sorted and without overlap.
+    pub spans: Vec<Span>,
+    /// Single keys that are placed on this upstream, sorted.
+    pub keys: Vec<u64>,
+    /// Single keys that are placed elsewhere or are being moved, although their slot is in `spans`; sorted.
+    pub withheld: Vec<u64>,
+}
+
+/// Tells an upstream what it owns; it replaces all that earlier orders said.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// Grows with each order under the same fencing token.
+    pub sequence: u64,
+    /// Fencing token of the acting holder.
+    pub fence: Fence,
+    /// Run of the upstream for which the order is meant; none while it is unknown, and then nothing is granted.
+    pub boot: Option<Boot>,
+    /// What the upstream owns until `expires`.
+    pub grants: Grants,
+    /// Expiry in the upstream's own clock, so that an order delivered late is already expired.
+    pub expires: Instant,
+}
+
+/// Answer of an upstream to an [`Order`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    /// Sequence number of the order.
+    pub sequence: u64,
+    /// Run of the upstream.
+    pub boot: Boot,
+    /// The upstream's own clock when it handled the order.
+    pub clock: Instant,
+    /// Why the order was rejected, if it was.
+    pub rejection: Option<Rejection>,
+    /// Targets that are no longer granted but still have running requests, sorted.
+    pub finishing: Vec<Target>,
+}
+
+impl Span {
+    /// Returns whether the span contains the slot.
+    #[must_use]
+    pub fn contains(&self, slot: Slot) -> bool {
+        (self.first..=self.last).contains(&slot)
+    }
+}
+
+impl Grants {
+    /// Returns whether nothing is granted.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.spans.is_empty() && self.keys.is_empty()
+    }
+
+    /// Returns whether the slot is granted, placed keys aside.
+    #[must_use]
+    pub fn has_slot(&self, slot: Slot) -> bool {
+        let next = self.spans.partition_point(|span| span.first <= slot);
+        next.checked_sub(1)
+            .is_some_and(|index| self.spans[index].contains(slot))
+    }
+
+    /// Returns whether requests for the target are covered.
+    #[must_use]
+    pub fn covers(&self, target: Target) -> bool {
+        self.keys.binary_search(&target.key).is_ok()
+            || (self.has_slot(target.slot) && self.withheld.binary_search(&target.key).is_err())
+    }
+}
--- /dev/null
+++ b/crates/kumquat-coordination/src/grant/held.rs
@@ -0,0 +1,177 @@
+//! The upstream's side: checks orders and requests.
+
+use kumquat_state::clock::Instant;
+use kumquat_state::ident::Fence;
+
+use super::{Boot, Grants, Order, Reply, Target};
+
+/// Why an upstream rejects an order or a request. A rejected request did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Rejection {
+    /// A holder with a higher fencing token has given orders.
+    #[error("the fencing token is lower than one seen before")]
+    LowerFence,
+    /// The order or request was meant for an earlier run of the upstream.
+    #[error("the boot id is that of another run")]
+    ForeignBoot,
+    /// The grant has expired.
+    #[error("the grant has expired")]
+    Expired,
+    /// A later order under the same fencing token has been handled.
+    #[error("a later order has been handled")]
+    Overtaken,
+    /// The slot or key is not granted under this fencing token.
+    #[error("the slot or key is not granted")]
+    NotGranted,
+}
+
+/// What one upstream holds.
+///
+/// A server calls [`Held::begin`] when a request arrives, and [`Held::check`] again right before an effect that lasts,
+/// because the grant may have expired while the request ran.
+#[derive(Clone, Debug)]
+pub struct Held {
+    boot: Boot,
+    fence: Fence,
+    sequence: u64,
+    grants: Grants,
+    expires: Instant,
+    /// Running requests per target, sorted.
+    running: Vec<(Target, u32)>,
+}
+
+impl Held {
+    /// Creates the state of an upstream that has just started: it holds nothing.
+    #[must_use]
+    pub fn new(boot: Boot) -> Self {
+        Self {
+            boot,
+            fence: Fence::default(),
+            sequence: 0,
+            grants: Grants::default(),
+            expires: Instant::ORIGIN,
+            running: Vec::new(),
+        }
+    }
+
+    /// Handles an order and returns the reply to it. A rejected order changes nothing.
+    pub fn on_order(&mut self, now: Instant, order: &Order) -> Reply {
+        let rejection = self.judge(now, order);
+        if rejection.is_none() {
+            self.fence = order.fence;
+            self.sequence = order.sequence;
+            self.grants = if order.boot.is_some() {
+                order.grants.clone()
+            } else {
+                Grants::default()
+            };
+            self.expires = order.expires;
+        }
+        let finishing = self
+            .running
+            .iter()
+            .map(|(target, _)| *target)
+            .filter(|target| !self.grants.covers(*target))
+            .collect();
+        Reply {
+            sequence: order.sequence,
+            boot: self.boot,
+            clock: now,
+            rejection,
+            finishing,
+        }
+    }
+
+    fn judge(&self, now: Instant, order: &Order) -> Option<Rejection> {
+        if order.fence < self.fence {
+            return Some(Rejection::LowerFence);
+        }
+        if order.boot.is_some_and(|boot| boot != self.boot) {
+            return Some(Rejection::ForeignBoot);
+        }
+        if order.fence == self.fence && order.sequence < self.sequence {
+            return Some(Rejection::Overtaken);
+        }
+        if order.fence == self.fence && order.sequence == self.sequence {
+            // The order that is in force has arrived again; a rejection would tell the grantor that it is not in force.
+            return None;
+        }
+        (!order.grants.is_empty() && order.expires <= now).then_some(Rejection::Expired)
+    }
+
+    /// Checks whether a request may run or take effect now.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request has to be rejected.
+    pub fn check(
+        &self,
+        now: Instant,
+        boot: Boot,
+        fence: Fence,
+        target: Target,
+    ) -> Result<(), Rejection> {
+        if fence < self.fence {
+            return Err(Rejection::LowerFence);
+        }
+        if boot != self.boot {
+            return Err(Rejection::ForeignBoot);
+        }
+        // A higher token has granted nothing yet: the grants of the lower one are not its own.
+        if fence > self.fence || !self.grants.covers(target) {
+            return Err(Rejection::NotGranted);
+        }
+        if self.expires <= now {
+            return Err(Rejection::Expired);
+        }
+        Ok(())
+    }
+
+    /// Checks a request that arrives and counts it as running.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request was rejected; it is then not counted.
+    pub fn begin(
+        &mut self,
+        now: Instant,
+        boot: Boot,
+        fence: Fence,
+        target: Target,
+    ) -> Result<(), Rejection> {
+        self.check(now, boot, fence, target)?;
+        match self
+            .running
+            .binary_search_by_key(&target, |(running, _)| *running)
+        {
+            Ok(index) => self.running[index].1 += 1,
+            Err(index) => self.running.insert(index, (target, 1)),
+        }
+        Ok(())
+    }
+
+    /// Takes note that a running request has ended.
+    pub fn end(&mut self, target: Target) {
+        if let Ok(index) = self
+            .running
+            .binary_search_by_key(&target, |(running, _)| *running)
+        {
+            self.running[index].1 -= 1;
+            if self.running[index].1 == 0 {
+                self.running.remove(index);
+            }
+        }
+    }
+
+    /// Returns whether the target is granted now, under whatever fencing token.
+    #[must_use]
+    pub fn owns(&self, now: Instant, target: Target) -> bool {
+        now < self.expires && self.grants.covers(target)
+    }
+
+    /// Returns the run of this upstream.
+    #[must_use]
+    pub fn boot(&self) -> Boot {
+        self.boot
+    }
+}
--- a/crates/kumquat-coordination/src/lib.rs
+++ b/crates/kumquat-coordination/src/lib.rs
@@ -1,3 +1,4 @@
 //! Pure coordination state machines of kumquatpond: membership, ownership, limits and dispatch.
 
+pub mod grant;
 pub mod limit;
