--- a/crates/kumquat-coordination/src/lib.rs
+++ b/crates/kumquat-coordination/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod authority;
 pub mod balance;
 pub mod dispatch;
+pub mod grant;
 pub mod limit;
 pub mod queue;
 pub mod role;
