--- /dev/null
+++ b/crates/kumquat-dispatch/src/admin.rs
@@ -0,0 +1,130 @@
+//! The `admin` module provides the HTTP endpoints of a dispatch process for operators.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwapOption;
+use poem::http::StatusCode;
+use poem::{Endpoint, Request, Response};
+
+use kumquat_state::bundle::Bundle;
+use kumquat_state::ledger::{Ledger, Name};
+
+use crate::audit::Trail;
+use crate::metrics::Metrics;
+
+/// What is in force at this VM.
+#[derive(Debug, Default)]
+pub struct View {
+    bundle: ArcSwapOption<Bundle>,
+    ledger: ArcSwapOption<Ledger>,
+}
+
+impl View {
+    /// Replaces the bundle.
+    pub fn set_bundle(&self, bundle: &Arc<Bundle>) {
+        self.bundle.store(Some(Arc::clone(bundle)));
+    }
+
+    /// Replaces the ledger.
+    pub fn set_ledger(&self, ledger: &Arc<Ledger>) {
+        self.ledger.store(Some(Arc::clone(ledger)));
+    }
+
+    /// Returns the bundle in force.
+    #[must_use]
+    pub fn bundle(&self) -> Option<Arc<Bundle>> {
+        self.bundle.load_full()
+    }
+
+    /// Returns the ledger in force.
+    #[must_use]
+    pub fn ledger(&self) -> Option<Arc<Ledger>> {
+        self.ledger.load_full()
+    }
+}
+
+/// Endpoint of the admin listener: `/live`, `/ready`, `/metrics`, `/status` and `/audit`.
+#[derive(Clone, Debug)]
+pub struct Admin {
+    /// What is in force.
+    pub view: Arc<View>,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Audit trail.
+    pub trail: Trail,
+}
+
+impl Admin {
+    fn is_ready(&self) -> bool {
+        self.view.bundle().is_some() && self.metrics.authority.get() == 1
+    }
+
+    fn status(&self) -> String {
+        let mut text = String::new();
+        let bundle = self.view.bundle().map_or(0, |bundle| bundle.version.0);
+        text.push_str(&format!("bundle {bundle}\n"));
+        let Some(ledger) = self.view.ledger() else {
+            return text;
+        };
+        text.push_str(&format!(
+            "ledger {} coordinator {} membership {}\n",
+            ledger.revision, ledger.coordinator, ledger.membership.version
+        ));
+        for member in &ledger.membership.members {
+            text.push_str(&format!(
+                "member {} {} {}\n",
+                member.vm, member.data_centre, member.incarnation
+            ));
+        }
+        for role in &ledger.roles {
+            let holders: Vec<&str> = role
+                .holders
+                .iter()
+                .map(|holder| holder.vm.as_str())
+                .collect();
+            text.push_str(&format!("role {} {}\n", describe(&role.name), holders.join(" ")));
+        }
+        text
+    }
+
+    fn audit(&self) -> String {
+        self.trail
+            .recent()
+            .iter()
+            .map(|entry| format!("{} {entry}\n", entry.when))
+            .collect()
+    }
+}
+
+fn describe(name: &Name) -> String {
+    match name {
+        Name::Group {
+            service,
+            data_centre,
+        } => format!("group {service} {data_centre}"),
+        Name::Home { team } => format!("home {team}"),
+    }
+}
+
+impl Endpoint for Admin {
+    type Output = Response;
+
+    async fn call(&self, request: Request) -> poem::Result<Response> {
+        let response = match request.uri().path() {
+            "/live" => Response::builder().body("live\n"),
+            "/ready" if self.is_ready() => Response::builder().body("ready\n"),
+            "/ready" => Response::builder()
+                .status(StatusCode::SERVICE_UNAVAILABLE)
+                .body("not ready\n"),
+            "/metrics" => Response::builder()
+                .content_type("text/plain; version=0.0.4")
+                .body(self.metrics.render()),
+            "/status" => Response::builder().body(self.status()),
+            "/audit" => Response::builder().body(self.audit()),
+            _ => Response::builder()
+                .status(StatusCode::NOT_FOUND)
+                .body("unknown path\n"),
+        };
+        Ok(response)
+    }
+}
--- /dev/null
+++ b/crates/kumquat-dispatch/src/control/coordination.rs
@@ -0,0 +1,395 @@
+//! The `coordination` module provides the coordinator's part of the control loop: it plans ledger changes while this VM
+//! holds the coordinator's lease.
+//!
+//! Safety rests on the compare-and-swap of the ledger and on the rules of the planner, never on the lease. See
+//! `docs/design.md`, section 4.
+
+use std::time::Duration;
+
+use kumquat_coordination::coordinator::{self, Coordinator, Group, Load, Released, Step, View};
+use kumquat_protocol::handshake::{Identity, Program};
+use kumquat_protocol::wire::{Message, Release, Report};
+use kumquat_state::clock::{self, Instant};
+use kumquat_state::ident::{Epoch, Operation, Revision, Service, Slot, Vm};
+use kumquat_state::ledger::{Holder, Ledger, Member, Name};
+
+use super::Control;
+use crate::group::Status;
+use crate::platform::{self, Outcome, Written};
+
+/// Longest time between two plans while nothing is reported.
+const PLAN_EVERY: Duration = Duration::from_millis(100);
+
+/// Time for which a new coordinator waits for the other VMs before it writes the first ledger.
+///
+/// Members that are listed at once need not be added one by one.
+const FORMATION: Duration = Duration::from_secs(1);
+
+/// Time without word from a coordinator after which other VMs try to obtain the lease.
+///
+/// It is longer than the lease's time to live, so that the first attempt usually succeeds.
+const SILENCE: Duration = Duration::from_millis(2_200);
+
+/// Time after which an unanswered request for a release is repeated.
+const RELEASE_REPEAT: Duration = Duration::from_millis(300);
+
+/// What the coordinator's part knows.
+#[derive(Debug)]
+pub struct Coordination {
+    platform: platform::Handle,
+    lease: Option<(Epoch, Instant)>,
+    planner: Coordinator,
+    groups: Vec<Group>,
+    released: Vec<Released>,
+    loads: Vec<Load>,
+    leaving: Vec<Vm>,
+    other: Option<(Vm, Epoch, Instant)>,
+    writing: Option<Operation>,
+    next_plan: Instant,
+    asked: Vec<(Name, Holder, Instant)>,
+}
+
+impl Coordination {
+    /// Creates the state of a VM that is not the coordinator.
+    #[must_use]
+    pub fn new(platform: platform::Handle) -> Self {
+        Self {
+            platform,
+            lease: None,
+            planner: Coordinator::new(),
+            groups: Vec::new(),
+            released: Vec::new(),
+            loads: Vec::new(),
+            leaving: Vec::new(),
+            other: None,
+            writing: None,
+            next_plan: Instant::ORIGIN,
+            asked: Vec::new(),
+        }
+    }
+
+    /// Returns whether this VM holds the coordinator's lease, as far as it knows.
+    #[must_use]
+    pub const fn is_coordinator(&self) -> bool {
+        self.lease.is_some()
+    }
+
+    /// Notes that a holder has stopped acting for a role.
+    pub fn note_released(&mut self, role: Name, holder: Holder, revision: Revision) {
+        self.released
+            .retain(|old| old.role != role || old.holder != holder);
+        self.asked
+            .retain(|(asked, by, _)| *asked != role || *by != holder);
+        self.released.push(Released {
+            role,
+            holder,
+            revision,
+        });
+        self.next_plan = Instant::ORIGIN;
+    }
+
+    /// Notes whether a VM wants to hand over its roles.
+    pub fn note_leaving(&mut self, vm: &Vm, is_leaving: bool) {
+        match (self.leaving.binary_search(vm), is_leaving) {
+            (Err(index), true) => self.leaving.insert(index, vm.clone()),
+            (Ok(index), false) => drop(self.leaving.remove(index)),
+            _ => {}
+        }
+    }
+
+    /// Notes that a VM says it holds the coordinator's lease.
+    pub fn note_coordinator(&mut self, now: Instant, vm: &Vm, epoch: Epoch) {
+        let newer = self
+            .other
+            .as_ref()
+            .is_none_or(|(_, known, _)| *known <= epoch);
+        if newer {
+            self.other = Some((vm.clone(), epoch, now));
+        }
+    }
+
+    /// Returns the epoch of this VM's lease, if it holds it.
+    #[must_use]
+    pub fn epoch(&self) -> Option<Epoch> {
+        self.lease.map(|(epoch, _)| epoch)
+    }
+
+    /// Returns the other VM that was last heard to hold the lease.
+    fn coordinator(&self, now: Instant) -> Option<&Vm> {
+        self.other
+            .as_ref()
+            .filter(|(_, _, heard)| now.saturating_since(*heard) < SILENCE)
+            .map(|(vm, _, _)| vm)
+    }
+
+    fn note_group(&mut self, group: Group) {
+        let old = self.groups.iter().position(|old| old.role == group.role);
+        match old {
+            Some(index) => self.groups[index] = group,
+            None => self.groups.push(group),
+        }
+        self.next_plan = Instant::ORIGIN;
+    }
+
+    /// Merges the loads of one group into those of its service.
+    fn note_load(&mut self, service: &Service, slots: u32, loads: &[(u32, u32)], keys: &[(u64, u32)]) {
+        let index = match self.loads.iter().position(|load| load.service == *service) {
+            Some(index) => index,
+            None => {
+                self.loads.push(Load {
+                    service: service.clone(),
+                    slots: Vec::new(),
+                    keys: Vec::new(),
+                });
+                self.loads.len() - 1
+            }
+        };
+        let load = &mut self.loads[index];
+        load.slots.resize(slots as usize, 0.0);
+        for (slot, rate) in loads {
+            if let Some(place) = load.slots.get_mut(*slot as usize) {
+                *place = f64::from(*rate);
+            }
+        }
+        for (key, rate) in keys {
+            let rate = f64::from(*rate);
+            match load.keys.iter_mut().find(|(known, _)| known == key) {
+                Some(known) => known.1 = rate,
+                None => load.keys.push((*key, rate)),
+            }
+        }
+    }
+}
+
+impl Control {
+    /// Takes note that this VM has got or lost the coordinator's lease.
+    pub(super) fn lease(&mut self, epoch: Option<Epoch>) {
+        let now = clock::now();
+        let coordination = &mut self.coordination;
+        let was = coordination.lease.map(|(epoch, _)| epoch);
+        if was == epoch {
+            return;
+        }
+        coordination.lease = epoch.map(|epoch| (epoch, now));
+        coordination.planner = Coordinator::new();
+        coordination.writing = None;
+        coordination.asked.clear();
+        self.metrics.coordinator.set(i64::from(epoch.is_some()));
+        match epoch {
+            Some(epoch) => {
+                slog::info!(self.log, "coordinator lease obtained"; "epoch" => epoch.0);
+                self.trail.coordinator(&self.me, epoch);
+            }
+            None => slog::info!(self.log, "coordinator lease lost"),
+        }
+    }
+
+    /// Takes note of how a write of the ledger ended; the stored ledger itself arrives as a document.
+    pub(super) fn written(&mut self, written: Written) {
+        if self.coordination.writing != Some(written.operation) {
+            return;
+        }
+        self.coordination.writing = None;
+        self.coordination.next_plan = Instant::ORIGIN;
+        if let Outcome::Stored(changes) = written.outcome {
+            let revision = self.documents.ledger_revision();
+            self.trail.ledger_changed(&changes, revision);
+        }
+    }
+
+    /// Takes the report of a local group and hands it to whoever may be the coordinator.
+    pub(super) fn status(&mut self, status: Status) {
+        let me = self.me.clone();
+        let report = status.into_report();
+        self.note_report(me, &report);
+        if self.coordination.is_coordinator() {
+            return;
+        }
+        let message = Message::Report(Box::new(report));
+        if let Some(vm) = self.coordination.coordinator(clock::now()) {
+            self.peers.send(vm, message);
+        }
+    }
+
+    /// Takes the report of a peer's group.
+    pub(super) fn report(&mut self, peer: &Identity, report: Report) {
+        let holder = Holder {
+            vm: peer.vm.clone(),
+            incarnation: peer.incarnation,
+        };
+        self.note_report(holder, &report);
+    }
+
+    fn note_report(&mut self, holder: Holder, report: &Report) {
+        let slots = self
+            .documents
+            .ledger()
+            .and_then(|ledger| ledger.table(&report.service).map(|table| table.slots));
+        if let Some(slots) = slots {
+            self.coordination
+                .note_load(&report.service, slots, &report.loads, &report.hot_keys);
+        }
+        self.coordination.note_group(Group {
+            role: Name::Group {
+                service: report.service.clone(),
+                data_centre: report.data_centre.clone(),
+            },
+            holder,
+            revision: Revision(report.revision),
+            held: report
+                .held_slots
+                .iter()
+                .map(|(first, last)| (Slot(*first), Slot(*last)))
+                .collect(),
+            held_keys: report.held_keys.clone(),
+            unreachable: report.unreachable.clone(),
+        });
+    }
+
+    /// Plans and starts the next step if this VM is the coordinator.
+    pub(super) fn coordinate(&mut self, now: Instant) {
+        let Some((epoch, since)) = self.coordination.lease else {
+            return;
+        };
+        let idle = self.coordination.writing.is_none() && now >= self.coordination.next_plan;
+        let Some(bundle) = self.documents.bundle().filter(|_| idle) else {
+            return;
+        };
+        self.coordination.next_plan = now + PLAN_EVERY;
+        let ledger = match self.documents.ledger() {
+            Some(ledger) => ledger,
+            None if now.saturating_since(since) >= FORMATION => Default::default(),
+            None => return,
+        };
+
+        // A new coordinator first makes its epoch known, which also gives all holders a new revision to report on.
+        if ledger.revision > Revision(0) && ledger.coordinator != epoch {
+            let mut next = Ledger::clone(&ledger);
+            next.revision = Revision(next.revision.0 + 1);
+            return self.write(next, epoch, Vec::new());
+        }
+        if let Some(step) = self.plan(now, &bundle, &ledger) {
+            match step {
+                Step::Write { ledger, changes } => self.write(*ledger, epoch, changes),
+                Step::Release { role, holder } => self.ask_release(now, role, holder),
+            }
+        }
+    }
+
+    fn plan(
+        &mut self,
+        now: Instant,
+        bundle: &kumquat_state::bundle::Bundle,
+        ledger: &Ledger,
+    ) -> Option<Step> {
+        let live = self.live(now);
+        let revisions = self.revisions();
+        let authority = &self.authority;
+        let coordination = &mut self.coordination;
+        if self.leaving {
+            coordination.note_leaving(&self.me.vm, true);
+        }
+        let view = View {
+            ledger,
+            bundle,
+            live: &live,
+            leaving: &coordination.leaving,
+            is_fenced: &|holder| authority.is_fenced(holder),
+            may_change: &|membership| authority.may_change(now, membership),
+            groups: &coordination.groups,
+            revisions: &revisions,
+            released: &coordination.released,
+            loads: &coordination.loads,
+        };
+        coordination.planner.plan(now, &view)
+    }
+
+    fn write(&mut self, mut ledger: Ledger, epoch: Epoch, changes: Vec<coordinator::Change>) {
+        let operation = Operation(rand::random());
+        ledger.coordinator = epoch;
+        ledger.operation = operation;
+        self.coordination.writing = Some(operation);
+        self.coordination.platform.write(ledger, changes);
+    }
+
+    fn ask_release(&mut self, now: Instant, role: Name, holder: Holder) {
+        let revision = self.documents.ledger_revision();
+        let asked = &mut self.coordination.asked;
+        asked.retain(|(_, _, at)| now.saturating_since(*at) < RELEASE_REPEAT);
+        if asked
+            .iter()
+            .any(|(name, by, _)| *name == role && *by == holder)
+        {
+            return;
+        }
+        asked.push((role.clone(), holder.clone(), now));
+        if holder == self.me {
+            return self.roles.release(&role, revision);
+        }
+        let release = Release {
+            role,
+            revision: revision.0,
+            done: false,
+        };
+        self.peers.send(&holder.vm, Message::Release(release));
+    }
+
+    /// Returns the VMs that are alive: this one and those whose heartbeats arrive.
+    fn live(&self, now: Instant) -> Vec<Member> {
+        let mut live = vec![self.member()];
+        for identity in self.peers.identities() {
+            let holder = Holder {
+                vm: identity.vm.clone(),
+                incarnation: identity.incarnation,
+            };
+            let heard = self.authority.peer(&holder).and_then(|peer| peer.heard);
+            let is_heard =
+                heard.is_some_and(|heard| now.saturating_since(heard) < Duration::from_millis(600));
+            if identity.program == Program::Dispatch && is_heard {
+                live.push(Member {
+                    vm: identity.vm.clone(),
+                    incarnation: identity.incarnation,
+                    data_centre: identity.data_centre.clone(),
+                    address: identity.address,
+                });
+            }
+        }
+        live.sort_by(|a, b| a.vm.cmp(&b.vm));
+        live
+    }
+
+    fn revisions(&self) -> Vec<(Holder, Revision)> {
+        let peers = self
+            .authority
+            .peers()
+            .iter()
+            .map(|peer| (peer.holder.clone(), peer.ledger));
+        std::iter::once((self.me.clone(), self.documents.ledger_revision()))
+            .chain(peers)
+            .collect()
+    }
+
+    /// Tells the tasks that talk to the store what is wanted of them at present.
+    pub(super) fn direct_platform(&self, now: Instant) {
+        let coordination = &self.coordination;
+        let campaign =
+            !self.leaving && (coordination.is_coordinator() || coordination.coordinator(now).is_none());
+        // Few VMs watch the store: the coordinator, one per data centre, and those whom no majority keeps up to date.
+        let watch = coordination.is_coordinator()
+            || !self.authority.may_act(now)
+            || self.is_deputy(now);
+        coordination.platform.direct(campaign, watch);
+    }
+
+    /// Returns whether this VM has the lowest name of the live members in its data centre.
+    fn is_deputy(&self, now: Instant) -> bool {
+        let suspects = self.authority.suspects(now);
+        self.authority
+            .membership()
+            .members
+            .iter()
+            .filter(|member| member.data_centre == self.data_centre)
+            .find(|member| !suspects.iter().any(|suspect| suspect.vm == member.vm))
+            .is_none_or(|member| member.vm == self.me.vm)
+    }
+}
--- /dev/null
+++ b/crates/kumquat-dispatch/src/control/roles.rs
@@ -0,0 +1,309 @@
+//! The `roles` module provides the roles of this VM: it opens what it may act for and closes what it may not.
+
+use std::sync::Arc;
+
+use tokio::sync::{mpsc, oneshot};
+
+use kumquat_coordination::authority::Authority;
+use kumquat_coordination::role::{self, Released};
+use kumquat_protocol::handshake::Identity;
+use kumquat_protocol::wire::{Message, Release};
+use kumquat_state::bundle::Bundle;
+use kumquat_state::clock;
+use kumquat_state::ident::{Revision, Version};
+use kumquat_state::ledger::{Holder, Ledger, Name};
+use kumquat_transport::link;
+
+use super::{Control, Event, Shared};
+use crate::entries::Directory;
+use crate::group::{self, Change, Command, Handle, Status};
+use crate::home::Homes;
+use crate::metrics::Metrics;
+use crate::permit::Permit;
+
+/// Reports and changes of local groups that wait for the control loop.
+const QUEUE: usize = 1_024;
+
+/// The roles for which this VM acts or may act again soon.
+#[derive(Debug)]
+pub struct Roles {
+    me: Holder,
+    directory: Arc<Directory>,
+    homes: Arc<Homes>,
+    events: mpsc::Sender<Event>,
+    reports: mpsc::Sender<Status>,
+    changes: mpsc::Sender<Change>,
+    metrics: Metrics,
+    // Sorted by name.
+    active: Vec<Active>,
+    configured: (Version, Revision),
+}
+
+#[derive(Debug)]
+struct Active {
+    name: Name,
+    permit: Arc<Permit>,
+    group: Option<Handle>,
+    releasing: Option<Revision>,
+}
+
+impl Roles {
+    /// Creates the state of a VM that acts for nothing.
+    #[must_use]
+    pub fn new(
+        me: Holder,
+        shared: &Shared,
+        events: mpsc::Sender<Event>,
+        metrics: Metrics,
+    ) -> Self {
+        let (reports, statuses) = mpsc::channel(QUEUE);
+        let (changes, changed) = mpsc::channel(QUEUE);
+        tokio::spawn(forward(statuses, events.clone(), Event::Status));
+        tokio::spawn(forward(changed, events.clone(), Event::Change));
+        Self {
+            me,
+            directory: Arc::clone(&shared.directory),
+            homes: Arc::clone(&shared.homes),
+            events,
+            reports,
+            changes,
+            metrics,
+            active: Vec::new(),
+            configured: (Version(0), Revision(0)),
+        }
+    }
+
+    /// Returns the number of roles for which this VM acts now.
+    #[must_use]
+    pub fn acting(&self) -> usize {
+        self.active
+            .iter()
+            .filter(|active| active.permit.until().is_some())
+            .count()
+    }
+
+    /// Renews, opens and closes roles according to ledger and authority.
+    pub fn refresh(
+        &mut self,
+        bundle: &Arc<Bundle>,
+        ledger: &Arc<Ledger>,
+        authority: &Authority,
+        released: &Released,
+    ) {
+        let now = clock::now();
+        let before = self.active.len();
+        self.close_unlisted(ledger, released);
+        let mut opened = false;
+        for role in &ledger.roles {
+            if !role.holders.contains(&self.me) {
+                continue;
+            }
+            let acting = role::acting(ledger, &self.me, &role.name, authority, released, now);
+            match self.find(&role.name) {
+                Ok(index) => self.active[index].permit.set(acting),
+                Err(index) if acting.is_some() => {
+                    let permit = Arc::new(Permit::default());
+                    permit.set(acting);
+                    if let Some(active) = self.open(&role.name, permit, bundle, ledger) {
+                        self.active.insert(index, active);
+                        opened = true;
+                    }
+                }
+                Err(_) => {}
+            }
+        }
+        if opened || self.active.len() != before {
+            self.publish();
+        }
+        self.configure(bundle, ledger);
+    }
+
+    /// Applies new rates to the homes.
+    pub fn configure_homes(&self, bundle: &Bundle) {
+        self.homes.configure(bundle);
+    }
+
+    /// Starts to release a role; the end is reported as [`Event::Released`].
+    pub fn release(&mut self, name: &Name, revision: Revision) {
+        let Ok(index) = self.find(name) else {
+            return self.report_released(name.clone(), revision, None);
+        };
+        if self.active[index].releasing.is_some() {
+            return;
+        }
+        self.active[index].releasing = Some(revision);
+        match self.active[index].group.clone() {
+            None => self.report_released(name.clone(), revision, None),
+            Some(group) => self.report_released(name.clone(), revision, Some(group)),
+        }
+    }
+
+    fn report_released(&self, role: Name, revision: Revision, group: Option<Handle>) {
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            if let Some(group) = group {
+                let (done, wait) = oneshot::channel();
+                group.deliver(Command::Release(done)).await;
+                // A task that has ended has nothing running either.
+                drop(wait.await);
+            }
+            // The control loop ends only with the process.
+            drop(events.send(Event::Released { role, revision }).await);
+        });
+    }
+
+    /// Closes a role that has been released.
+    pub fn close(&mut self, name: &Name) {
+        if let Ok(index) = self.find(name) {
+            let active = self.active.remove(index);
+            self.end(&active);
+            self.publish();
+        }
+    }
+
+    /// Closes all roles.
+    pub fn close_all(&mut self) {
+        for active in std::mem::take(&mut self.active) {
+            self.end(&active);
+        }
+        self.publish();
+    }
+
+    fn end(&self, active: &Active) {
+        active.permit.set(None);
+        if let Name::Home { team } = &active.name {
+            self.homes.close(team);
+        }
+    }
+
+    fn close_unlisted(&mut self, ledger: &Ledger, released: &Released) {
+        let mut index = 0;
+        while index < self.active.len() {
+            let name = &self.active[index].name;
+            let listed = ledger
+                .role(name)
+                .is_some_and(|role| role.holders.contains(&self.me));
+            if listed && !released.covers(name, ledger.revision) {
+                index += 1;
+                continue;
+            }
+            let active = self.active.remove(index);
+            self.end(&active);
+        }
+    }
+
+    fn open(
+        &self,
+        name: &Name,
+        permit: Arc<Permit>,
+        bundle: &Arc<Bundle>,
+        ledger: &Arc<Ledger>,
+    ) -> Option<Active> {
+        let group = match name {
+            Name::Home { team } => {
+                self.homes.open(bundle, team, &permit);
+                None
+            }
+            Name::Group {
+                service,
+                data_centre,
+            } => {
+                let context = group::Context {
+                    service: bundle.service(service)?.clone(),
+                    data_centre: data_centre.clone(),
+                    permit: Arc::clone(&permit),
+                    metrics: self.metrics.clone(),
+                    reports: self.reports.clone(),
+                    changes: self.changes.clone(),
+                };
+                Some(group::spawn(context, bundle, ledger))
+            }
+        };
+        Some(Active {
+            name: name.clone(),
+            permit,
+            group,
+            releasing: None,
+        })
+    }
+
+    /// Hands a new bundle or ledger to the groups.
+    fn configure(&mut self, bundle: &Arc<Bundle>, ledger: &Arc<Ledger>) {
+        let versions = (bundle.version, ledger.revision);
+        if self.configured == versions {
+            return;
+        }
+        self.configured = versions;
+        for active in &self.active {
+            let Some(group) = active.group.clone() else {
+                continue;
+            };
+            let command = Command::Configure(Arc::clone(bundle), Arc::clone(ledger));
+            if let Err(command) = group.send(command) {
+                tokio::spawn(async move { group.deliver(command).await });
+            }
+        }
+    }
+
+    fn publish(&self) {
+        let groups = self
+            .active
+            .iter()
+            .filter_map(|active| Some((active.name.clone(), active.group.clone()?)))
+            .collect();
+        self.directory.set(groups);
+    }
+
+    fn find(&self, name: &Name) -> Result<usize, usize> {
+        self.active.binary_search_by(|active| active.name.cmp(name))
+    }
+}
+
+impl Control {
+    /// Handles a coordinator's request to release a role, or a holder's answer to one.
+    pub(super) fn release(&mut self, peer: &Identity, _link: &link::Sender, release: Release) {
+        let revision = Revision(release.revision);
+        if release.done {
+            let holder = Holder {
+                vm: peer.vm.clone(),
+                incarnation: peer.incarnation,
+            };
+            return self
+                .coordination
+                .note_released(release.role, holder, revision);
+        }
+        // A request that rests on an outdated ledger may concern a role that is this VM's again.
+        if self.documents.ledger_revision() <= revision {
+            self.roles.release(&release.role, revision);
+        }
+    }
+
+    /// Records that this VM has stopped acting for a role and tells whoever may be the coordinator.
+    pub(super) fn role_released(&mut self, role: &Name, revision: Revision) {
+        self.released.release(role, revision);
+        self.roles.close(role);
+        let done = Message::Release(Release {
+            role: role.clone(),
+            revision: revision.0,
+            done: true,
+        });
+        let peers: Vec<_> = self.peers.links().map(|(vm, _)| vm.clone()).collect();
+        for vm in peers {
+            self.peers.send(&vm, done.clone());
+        }
+        let me = self.me.clone();
+        self.coordination.note_released(role.clone(), me, revision);
+    }
+}
+
+async fn forward<T>(
+    mut from: mpsc::Receiver<T>,
+    to: mpsc::Sender<Event>,
+    event: impl Fn(T) -> Event,
+) {
+    while let Some(value) = from.recv().await {
+        if to.send(event(value)).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/kumquat-dispatch/src/group.rs
+++ b/crates/kumquat-dispatch/src/group.rs
@@ -25,7 +25,7 @@
 mod upstreams;
 
 pub use ownership::Status;
-pub use request::{Payload, Pending, Responder};
+pub use request::{Closer, Payload, Pending, Responder};
 
 use attempt::Ended;
 use ownership::Ownership;
@@ -138,6 +138,14 @@
     }
 }
 
+impl Handle {
+    /// Hands a command to the task, waiting for room in its queue.
+    pub async fn deliver(&self, command: Command) {
+        // A task that has ended has answered all its requests.
+        drop(self.commands.send(command).await);
+    }
+}
+
 /// Starts the task of a group.
 #[must_use]
 pub fn spawn(context: Context, bundle: &Arc<Bundle>, ledger: &Arc<Ledger>) -> Handle {
--- a/crates/kumquat-protocol/src/convert.rs
+++ b/crates/kumquat-protocol/src/convert.rs
@@ -33,6 +33,8 @@
             bundle: heartbeat.bundle.0,
             ledger: heartbeat.ledger.0,
             pledges: heartbeat.pledges.iter().map(wire::Holder::from).collect(),
+            leaving: false,
+            coordinator: None,
         }
     }
 }
--- a/crates/kumquat-protocol/src/handshake.rs
+++ b/crates/kumquat-protocol/src/handshake.rs
@@ -5,6 +5,8 @@
 //! [`Initiator`] -> [`Proving`] -> [`Session`] on the connecting side, [`respond`] -> [`Verifying`] -> [`Session`] on the
 //! accepting side.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 use subtle::ConstantTimeEq;
 
@@ -38,6 +40,10 @@
     pub incarnation: ident::Incarnation,
     /// Program that runs there.
     pub program: Program,
+    /// Data centre of the VM.
+    pub data_centre: ident::DataCentre,
+    /// Address on which the VM's dispatch process takes links.
+    pub address: SocketAddr,
 }
 
 /// Secret that all processes of a cell share.
--- a/crates/kumquat-protocol/src/wire.rs
+++ b/crates/kumquat-protocol/src/wire.rs
@@ -295,6 +295,12 @@
     /// Current members against which the sender has pledged.
     #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
     pub pledges: Vec<Holder>,
+    /// Whether the sender is about to stop and wants to hand over its roles.
+    #[serde(rename = "q", default, skip_serializing_if = "std::ops::Not::not")]
+    pub leaving: bool,
+    /// Epoch of the coordinator's lease if the sender holds it.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub coordinator: Option<u64>,
 }
 
 /// Asks a member to agree to fence an incarnation.
@@ -440,23 +446,6 @@
     pub done: bool,
 }
 
-/// State of one upstream as its group's acting holder sees it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct UpstreamReport {
-    /// The upstream.
-    #[serde(rename = "u")]
-    pub upstream: ident::Upstream,
-    /// Whether it answered lately.
-    #[serde(rename = "r")]
-    pub reachable: bool,
-    /// Slots that it may still hold, as first and last slot of each span.
-    #[serde(rename = "h")]
-    pub held: Vec<(u32, u32)>,
-    /// Whether its slots have to move because it can't serve them.
-    #[serde(rename = "f")]
-    pub failed: bool,
-}
-
 /// What an acting holder knows of its group, for the coordinator.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
@@ -469,10 +458,19 @@
     /// Ledger revision on which the report rests.
     #[serde(rename = "n")]
     pub revision: u64,
-    /// Upstreams of the group.
+    /// Upstreams that do not answer.
     #[serde(rename = "u")]
-    pub upstreams: Vec<UpstreamReport>,
-    /// Hottest keys with their requests per second.
-    #[serde(rename = "k")]
+    pub unreachable: Vec<ident::Upstream>,
+    /// Slots that some upstream may still hold although the ledger names no owner, as first and last.
+    #[serde(rename = "h")]
+    pub held_slots: Vec<(u32, u32)>,
+    /// Placed keys that some upstream may still hold although the ledger names no owner.
+    #[serde(rename = "p")]
+    pub held_keys: Vec<u64>,
+    /// Hottest keys with their requests per second; empty if nothing new is known.
+    #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
     pub hot_keys: Vec<(u64, u32)>,
+    /// Slots with their requests per second, without placed keys; empty if nothing new is known.
+    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+    pub loads: Vec<(u32, u32)>,
 }
--- a/crates/kumquat-transport/src/link.rs
+++ b/crates/kumquat-transport/src/link.rs
@@ -105,6 +105,17 @@
         self.listener.local_addr().map_err(Error::connect)
     }
 
+    /// Returns who this process says it is.
+    #[must_use]
+    pub const fn identity(&self) -> &Identity {
+        &self.options.identity
+    }
+
+    /// Sets the address that the identity states, which may be known only after binding.
+    pub const fn set_address(&mut self, address: SocketAddr) {
+        self.options.identity.address = address;
+    }
+
     /// Waits for the next connection; its handshake is run by [`Pending::open`], so that a slow peer holds up no other.
     ///
     /// # Errors
