--- a/crates/kumquat-standins/src/lib.rs
+++ b/crates/kumquat-standins/src/lib.rs
@@ -5,7 +5,9 @@
 //! stand-ins are for tests, the demonstration and the benchmarks; the product uses none of them.
 
 pub mod net;
+pub mod observation;
 pub mod store;
+pub mod upstream;
 
 /// Failure to start a stand-in.
 #[derive(Debug, thiserror::Error)]
--- a/crates/kumquat-standins/src/net.rs
+++ b/crates/kumquat-standins/src/net.rs
@@ -43,10 +43,18 @@
 struct Switch {
     cut: AtomicBool,
     garbled: AtomicBool,
+    /// Cancelled when the connection has ended. Poem goes on with a handler after the caller has hung up.
+    ended: CancellationToken,
     wakers: Mutex<(Option<Waker>, Option<Waker>)>,
 }
 
 impl Switch {
+    fn cut(&self) {
+        self.cut.store(true, Ordering::SeqCst);
+        self.ended.cancel();
+        self.wake();
+    }
+
     fn wake(&self) {
         let (read, write) = std::mem::take(&mut *lock(&self.wakers));
         if let Some(waker) = read {
@@ -89,16 +97,14 @@
     /// Closes the connection from `peer` without writing anything more.
     pub fn cut(&self, peer: SocketAddr) {
         if let Some(switch) = self.switch(peer) {
-            switch.cut.store(true, Ordering::SeqCst);
-            switch.wake();
+            switch.cut();
         }
     }
 
     /// Closes all connections without writing anything more.
     pub fn cut_all(&self) {
         for switch in self.switches() {
-            switch.cut.store(true, Ordering::SeqCst);
-            switch.wake();
+            switch.cut();
         }
     }
 
@@ -159,7 +165,10 @@
             address,
             gate: gate.clone(),
         };
-        let endpoint = Handler(endpoint(&gate));
+        let endpoint = Handler {
+            answer: endpoint(&gate),
+            gate: gate.clone(),
+        };
         let stop = CancellationToken::new();
         let signal = stop.clone().cancelled_owned();
         let task = tokio::spawn(async move {
@@ -193,13 +202,26 @@
 /// Answer of a handler.
 pub(crate) type Answer = Pin<Box<dyn Future<Output = poem::Response> + Send>>;
 
-struct Handler(Box<dyn Fn(Request) -> Answer + Send + Sync>);
+struct Handler {
+    answer: Box<dyn Fn(Request) -> Answer + Send + Sync>,
+    gate: Gate,
+}
 
 impl Endpoint for Handler {
     type Output = poem::Response;
 
     async fn call(&self, req: Request) -> poem::Result<Self::Output> {
-        Ok((self.0)(req).await)
+        let switch = peer(&req).and_then(|peer| self.gate.switch(peer));
+        let answer = (self.answer)(req);
+        let Some(ended) = switch.map(|switch| switch.ended.clone()) else {
+            return Ok(answer.await);
+        };
+        // Dropping the handler's future cancels its work.
+        tokio::select! {
+            biased;
+            answer = answer => Ok(answer),
+            () = ended.cancelled() => Ok(poem::Response::default()),
+        }
     }
 }
 
@@ -246,6 +268,7 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        self.switch.ended.cancel();
         lock(&self.gate.0.connections).remove(&self.peer);
     }
 }
@@ -273,8 +296,13 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
         std::task::ready!(self.poll_gate(cx, false))?;
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let result = std::task::ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        if result.is_err() || (buf.filled().len() == before && buf.remaining() > 0) {
+            self.switch.ended.cancel();
+        }
+        Poll::Ready(result)
     }
 }
 
