--- a/crates/kumquat-transport/src/lib.rs
+++ b/crates/kumquat-transport/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod errors;
 pub mod link;
 pub mod stream;
+pub mod upstream;
 
 pub use errors::{Error, Result};
