--- a/crates/kumquat-coordination/src/authority.rs
+++ b/crates/kumquat-coordination/src/authority.rs
@@ -449,10 +449,12 @@
         }
     }
 
-    fn has_countable_pledge(&self, voter: &Holder, target: &Holder) -> bool {
+    /// Returns whether the voter has pledged and its last promise to `target` has run out.
+    fn is_lapsed(&self, now: Instant, voter: &Holder, target: &Holder) -> bool {
         self.peer(voter)
             .and_then(|peer| peer.pledge(target))
-            .is_some_and(|pledge| pledge.lapse.is_some())
+            .and_then(|pledge| pledge.lapse)
+            .is_some_and(|lapse| lapse <= now)
     }
 
     fn evict(&mut self, actions: &mut Vec<Action>) {
--- a/crates/kumquat-coordination/src/authority/campaign.rs
+++ b/crates/kumquat-coordination/src/authority/campaign.rs
@@ -155,7 +155,7 @@
             }
             if now >= campaign.next {
                 campaign.next = now + self.options.heartbeat / 2;
-                self.request(campaign, actions);
+                self.request(now, campaign, actions);
             }
         }
         self.campaigns = campaigns;
@@ -180,14 +180,15 @@
         votes + 1 >= self.membership.majority()
     }
 
-    fn request(&self, campaign: &Campaign, actions: &mut Vec<Action>) {
+    fn request(&self, now: Instant, campaign: &Campaign, actions: &mut Vec<Action>) {
         for member in &self.membership.members {
             let voter = Holder {
                 vm: member.vm.clone(),
                 incarnation: member.incarnation,
             };
+            // A pledge seen in a heartbeat assumes a whole promise; the voter's own reply tells the time that is left.
             let agreed = if campaign.binding {
-                self.has_countable_pledge(&voter, &campaign.target)
+                self.is_lapsed(now, &voter, &campaign.target)
             } else {
                 campaign.votes.binary_search(&voter).is_ok()
             };
--- a/crates/kumquat-coordination/tests/authority.rs
+++ b/crates/kumquat-coordination/tests/authority.rs
@@ -7,7 +7,7 @@
 
 use fixture::{cell, connected, holder, membership, millis, run, without_first};
 use kumquat_coordination::authority::{
-    Action, Authority, Echo, FenceRequest, Heartbeat, Message, Options, Verdict,
+    Action, Authority, Echo, FenceReply, FenceRequest, Heartbeat, Message, Options, Verdict,
 };
 use kumquat_state::ident::{Incarnation, Revision, Version};
 use kumquat_state::ledger::Holder;
@@ -36,6 +36,18 @@
     }
 }
 
+fn agreement(from: Holder, target: Holder, binding: bool) -> FenceReply {
+    FenceReply {
+        from,
+        target,
+        membership: Version(1),
+        binding,
+        verdict: Verdict::Agreed {
+            remaining: Duration::from_millis(200),
+        },
+    }
+}
+
 fn verdict(actions: &[Action]) -> Option<Verdict> {
     actions.iter().find_map(|action| match action {
         Action::Send {
@@ -245,3 +257,27 @@
     assert_eq!(first, [Action::Evicted]);
     assert!(second.is_empty() && machine.is_evicted());
 }
+
+/// Guards against a takeover that is late because a pledge was first seen in a heartbeat, which assumes a whole promise.
+#[test]
+fn a_pledge_seen_in_a_heartbeat_is_still_asked_for() {
+    let mut machine = cell(3).swap_remove(0);
+    machine.on_heartbeat(millis(0), &heartbeat(holder(2, 1), 1, None));
+    machine.tick(millis(400));
+    machine.on_heartbeat(millis(600), &heartbeat(holder(1, 1), 1, None));
+    machine.seek_fence(millis(700), &holder(2, 1));
+    machine.on_fence_reply(millis(700), &agreement(holder(1, 1), holder(2, 1), false));
+
+    let mut beat = heartbeat(holder(1, 1), 2, None);
+    beat.pledges = vec![holder(2, 1)];
+    machine.on_heartbeat(millis(710), &beat);
+    let asked = machine.tick(millis(800));
+    machine.on_fence_reply(millis(800), &agreement(holder(1, 1), holder(2, 1), true));
+    let fenced = machine.tick(millis(1010));
+
+    assert!(asked.iter().any(|action| matches!(
+        action,
+        Action::Send { message: Message::FenceRequest(request), .. } if request.binding
+    )));
+    assert!(fenced.contains(&Action::Fenced(holder(2, 1))));
+}
