Add the submission of bundles as a state machine without I/O

Cause: operators race each other, and an answer of the store can be lost after the write took effect; a wrong report makes an operator undo or repeat a change.

--- a/crates/kumquat-state/src/bundle.rs
+++ b/crates/kumquat-state/src/bundle.rs
@@ -4,6 +4,7 @@
 
 mod change;
 pub mod envelope;
+pub mod submit;
 pub mod text;
 
 use std::net::SocketAddr;
