Let upstreams take whole orders that replace earlier ones

Cause: the grantor sends everything that an upstream owns in each order, while the stand-in took increments, so that a late order could have brought back a key that had been placed elsewhere. Change: orders carry a sequence number, keys carry epochs, the stand-in rejects overtaken orders and tells which requests still finish. Conclusion: one format on both sides; late orders change nothing.

--- a/crates/kumquat-coordination/src/grant.rs
+++ b/crates/kumquat-coordination/src/grant.rs
@@ -35,6 +35,15 @@
     pub epoch: Epoch,
 }
 
+/// A single key with the epoch at which its ownership began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Key {
+    /// Hash of the key.
+    pub hash: u64,
+    /// Epoch at which the ownership began.
+    pub epoch: Epoch,
+}
+
 /// What a request works on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Target {
@@ -49,8 +58,8 @@
 pub struct Grants {
     /// Slots, sorted and without overlap.
     pub spans: Vec<Span>,
-    /// Single keys that are placed on this upstream, sorted.
-    pub keys: Vec<u64>,
+    /// Single keys that are placed on this upstream, sorted by hash.
+    pub keys: Vec<Key>,
     /// Single keys that are placed elsewhere or are being moved, although their slot is in `spans`; sorted.
     pub withheld: Vec<u64>,
 }
@@ -111,7 +120,9 @@
     /// Returns whether requests for the target are covered.
     #[must_use]
     pub fn covers(&self, target: Target) -> bool {
-        self.keys.binary_search(&target.key).is_ok()
+        self.keys
+            .binary_search_by_key(&target.key, |key| key.hash)
+            .is_ok()
             || (self.has_slot(target.slot) && self.withheld.binary_search(&target.key).is_err())
     }
 }
--- a/crates/kumquat-dispatch/src/group.rs
+++ b/crates/kumquat-dispatch/src/group.rs
@@ -405,7 +405,7 @@
         }
         let fence = self.context.permit.fence();
         let pass = match self.context.service.kind {
-            Kind::Pool => ownership::Pass { fence, boot: None },
+            Kind::Pool => ownership::Pass { fence },
             Kind::Keyed => {
                 let open = &self.open[index];
                 match self
--- a/crates/kumquat-dispatch/src/group/ownership.rs
+++ b/crates/kumquat-dispatch/src/group/ownership.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use kumquat_coordination::grant::{Grantor, Grants, Options, Order, Reply, Span, Target};
+use kumquat_coordination::grant::{Grantor, Grants, Key, Options, Order, Reply, Span, Target};
 use kumquat_protocol::wire;
 use kumquat_state::bundle::{Bundle, Kind, Service};
 use kumquat_state::clock::{self, Instant};
 use kumquat_state::ident::{self, Fence, Request, Revision, Slot};
 use kumquat_state::ledger::Ledger;
-use kumquat_state::slots::Table;
 use kumquat_state::hash;
+use kumquat_state::slots::{Owner as Owned, Table};
 
 use super::Context;
 use super::attempt::Ended;
@@ -36,8 +36,6 @@
 pub struct Pass {
     /// Fencing token of the acting holder.
     pub fence: Fence,
-    /// Boot id for which the grant was made; none for services without keys.
-    pub boot: Option<u64>,
 }
 
 /// State of a group's upstreams for the coordinator.
@@ -189,7 +187,7 @@
         let target = target(self.table.as_ref()?, request.key?);
         let index = self.position(upstream).ok()?;
         let owner = &mut self.owners[index];
-        let (boot, fence) = owner.grantor.pass(now, target)?;
+        let (_, fence) = owner.grantor.pass(now, target)?;
         let ends = now + clock::lengthened(now.until(deadline));
         owner
             .grantor
@@ -199,10 +197,7 @@
             .attempts
             .partition_point(|(number, _)| *number < attempt);
         self.attempts.insert(place, (attempt, upstream.clone()));
-        Some(Pass {
-            fence,
-            boot: owner.checks_grants.then_some(boot.0),
-        })
+        Some(Pass { fence })
     }
 
     /// Takes note that an attempt has ended.
@@ -240,12 +235,13 @@
 
     /// Sends the orders that are due.
     pub fn tick(&mut self, now: Instant, permit: &Permit, upstreams: &Upstreams) {
+        let slots = self.table.as_ref().map_or(1, |table| table.slots);
         for owner in &mut self.owners {
             let order = owner
                 .grantor
                 .tick(now, permit.until(), permit.fence(), &owner.wanted);
             if let Some(order) = order {
-                send(owner.upstream.clone(), order, upstreams);
+                send(owner.upstream.clone(), order, slots, upstreams);
             }
         }
     }
@@ -346,14 +342,14 @@
 }
 
 /// Sends an order from a task of its own, so that a slow upstream holds up no other.
-fn send(upstream: ident::Upstream, order: Order, upstreams: &Upstreams) {
+fn send(upstream: ident::Upstream, order: Order, slots: u32, upstreams: &Upstreams) {
     let Some(client) = upstreams.client(&upstream).cloned() else {
         return;
     };
     let ended = upstreams.ended().clone();
     tokio::spawn(async move {
         let sequence = order.sequence;
-        let reply = client.order(&order, ORDER_TIMEOUT).await.ok();
+        let reply = client.order(&order, slots, ORDER_TIMEOUT).await.ok();
         let event = Ended::Order {
             upstream,
             reply: (sequence, reply),
@@ -365,13 +361,11 @@
 
 /// Returns what the table gives to one upstream.
 fn grants(table: &Table, upstream: &ident::Upstream) -> Grants {
-    let owns = |owner: Option<&kumquat_state::slots::Owner>| {
-        owner.is_some_and(|owner| owner.upstream == *upstream)
-    };
+    let owns = |owner: &Owned| owner.upstream == *upstream;
     let spans: Vec<Span> = table
         .spans()
         .filter_map(|(first, last, owner)| {
-            let owner = owner.filter(|owner| owner.upstream == *upstream)?;
+            let owner = owner.filter(|owner| owns(owner))?;
             Some(Span {
                 first,
                 last,
@@ -384,8 +378,11 @@
         ..Grants::default()
     };
     for placement in &table.placements {
-        if owns(placement.owner.as_ref()) {
-            grants.keys.push(placement.key);
+        if let Some(owner) = placement.owner.as_ref().filter(|owner| owns(owner)) {
+            grants.keys.push(Key {
+                hash: placement.key,
+                epoch: owner.epoch,
+            });
         } else if grants.has_slot(hash::slot(placement.key, table.slots)) {
             grants.withheld.push(placement.key);
         }
--- a/crates/kumquat-dispatch/src/group/upstreams.rs
+++ b/crates/kumquat-dispatch/src/group/upstreams.rs
@@ -226,7 +226,6 @@
     call.team = Some(request.team.clone());
     call.key = request.key;
     call.fence = pass.fence;
-    call.boot = pass.boot;
     call.attempt = u32::try_from(number).unwrap_or(u32::MAX);
     call.idempotent = request.idempotent;
     Some(call)
--- a/crates/kumquat-standins/src/upstream/grant.rs
+++ b/crates/kumquat-standins/src/upstream/grant.rs
@@ -30,6 +30,16 @@
     pub epoch: u64,
 }
 
+impl Key {
+    /// Creates the wire form of a key's hash.
+    pub(super) fn new(hash: u64) -> Self {
+        Self {
+            key: format!("{hash:016x}"),
+            epoch: 0,
+        }
+    }
+}
+
 /// Body of `POST /grant`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
@@ -38,6 +48,15 @@
     /// Boot id that the granter knows; absent in a first call, which only learns it.
     #[serde(default)]
     pub boot: Option<u64>,
+    /// Grows with each order under one fencing token; an order that was overtaken is rejected. Absent in orders that are
+    /// not whole.
+    #[serde(default)]
+    pub sequence: u64,
+    /// Whether the order names everything that the upstream owns, so that it gives up the rest.
+    ///
+    /// The answer to such an order comes at once and tells what is still being given up.
+    #[serde(default)]
+    pub whole: bool,
     /// Expiry in the clock of the upstream.
     #[serde(default)]
     pub until_ms: u64,
@@ -69,6 +88,24 @@
     pub fence: u64,
     /// Slots that it holds.
     pub held: Vec<Span>,
+    /// Why the order was rejected, if it was.
+    #[serde(default)]
+    pub rejection: Option<Refused>,
+    /// Keys of requests that still run although their slot or key is being given up.
+    #[serde(default)]
+    pub finishing: Vec<Key>,
+}
+
+/// Why an order was rejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Refused {
+    /// The order is meant for another run of the upstream.
+    ForeignBoot,
+    /// A higher fencing token has been seen.
+    LowerFence,
+    /// A later order under the same fencing token has arrived before.
+    Overtaken,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -127,6 +164,15 @@
         }
     }
 
+    /// Returns the areas that are granted now, expired or not.
+    pub(super) fn granted(&self) -> Vec<Area> {
+        self.areas
+            .iter()
+            .filter(|(_, held)| held.stage == Stage::Granted)
+            .map(|(area, _)| *area)
+            .collect()
+    }
+
     /// Gives up an area whose requests have finished and returns true, unless it has been granted again.
     pub(super) fn finish_release(&mut self, area: Area) -> bool {
         let held = self.areas.entry(area).or_default();
--- a/crates/kumquat-standins/src/upstream/serve.rs
+++ b/crates/kumquat-standins/src/upstream/serve.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use tokio::sync::{Notify, Semaphore, watch};
 
-use super::grant::{Grant, Granted, key_hash};
+use super::grant::{Grant, Granted, Refused, key_hash};
 use super::state::State;
 use super::{Mode, Options};
 use crate::net::{Gate, lock, peer};
@@ -122,7 +122,7 @@
     pub(super) async fn answer(self: Arc<Self>, request: Request, gate: &Gate) -> Response {
         let mut response = match request.uri().path() {
             "/health" | "/load" => self.report(),
-            "/grant" if request.method() == Method::POST => self.grant(request).await,
+            "/grant" if request.method() == Method::POST => Arc::clone(&self).grant(request).await,
             _ => self.serve(request, gate).await,
         };
         let clock = self.clock_ms();
@@ -140,7 +140,7 @@
         json(StatusCode::OK, &status)
     }
 
-    async fn grant(&self, request: Request) -> Response {
+    async fn grant(self: Arc<Self>, request: Request) -> Response {
         let Ok(bytes) = request.into_body().into_bytes_limit(1 << 20).await else {
             return plain(StatusCode::PAYLOAD_TOO_LARGE);
         };
@@ -154,11 +154,13 @@
 
         let released = {
             let mut state = lock(&self.state);
-            let foreign = grant.boot != Some(state.boot);
-            let outdated = grant.fence < state.fence;
             // Upstreams that don't check who gives them orders accept them all.
-            if self.options.checks_grants && (foreign || outdated) {
-                return json(StatusCode::CONFLICT, &self.granted(&state));
+            let refused = refusal(&grant, &state).filter(|_| self.options.checks_grants);
+            if refused.is_some() {
+                return json(StatusCode::CONFLICT, &self.granted(&state, refused));
+            }
+            if grant.fence > state.fence || grant.whole {
+                state.sequence = grant.sequence;
             }
             state.fence = state.fence.max(grant.fence);
             let slots = |first: u32, last: u32| {
@@ -175,6 +177,11 @@
                 .flat_map(|span| slots(span.first, span.last))
                 .collect::<Vec<_>>();
             released.extend(release_keys.into_iter().map(Area::Key));
+            if grant.whole {
+                let mut given_up = state.grants.granted();
+                given_up.retain(|area| !granted.iter().any(|(other, _)| other == area));
+                released.extend(given_up);
+            }
             if let Some(without) = without {
                 state.grants.set_without(without);
             }
@@ -184,10 +191,15 @@
             self.record_grant(&mut state, &granted, &grant);
             released
         };
-        self.finish(&released).await;
+        if grant.whole {
+            let core = Arc::clone(&self);
+            tokio::spawn(async move { core.finish(&released).await });
+        } else {
+            self.finish(&released).await;
+        }
 
         let state = lock(&self.state);
-        json(StatusCode::OK, &self.granted(&state))
+        json(StatusCode::OK, &self.granted(&state, None))
     }
 
     fn record_grant(&self, state: &mut State, granted: &[(Area, u64)], grant: &Grant) {
@@ -234,13 +246,15 @@
         }
     }
 
-    fn granted(&self, state: &State) -> Granted {
+    fn granted(&self, state: &State, rejection: Option<Refused>) -> Granted {
         let clock_ms = self.clock_ms();
         Granted {
             boot: state.boot,
             clock_ms,
             fence: state.fence,
             held: state.grants.held(clock_ms),
+            rejection,
+            finishing: state.finishing(),
         }
     }
 
@@ -363,6 +377,19 @@
     }
 }
 
+/// Returns why an upstream that checks its orders rejects one.
+fn refusal(grant: &Grant, state: &State) -> Option<Refused> {
+    if grant.fence < state.fence {
+        return Some(Refused::LowerFence);
+    }
+    if grant.boot != Some(state.boot) {
+        return Some(Refused::ForeignBoot);
+    }
+    let is_overtaken =
+        grant.whole && grant.fence == state.fence && grant.sequence <= state.sequence;
+    is_overtaken.then_some(Refused::Overtaken)
+}
+
 type Keys = (Vec<(Area, u64)>, Vec<u64>, Option<Vec<u64>>);
 
 /// Reads the key hashes of a grant.
--- a/crates/kumquat-standins/src/upstream/state.rs
+++ b/crates/kumquat-standins/src/upstream/state.rs
@@ -8,7 +8,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use super::grant::Grants;
+use super::grant::{Grants, Key};
 use super::report::{History, Status};
 use super::{Mode, Options, ServiceTime};
 use crate::observation::Area;
@@ -69,6 +69,8 @@
 pub(super) struct State {
     pub(super) boot: u64,
     pub(super) fence: u64,
+    /// Highest sequence number of a whole order under the present fencing token.
+    pub(super) sequence: u64,
     pub(super) grants: Grants,
     /// Requests of each key so far: the state that a restart loses.
     pub(super) keys: BTreeMap<u64, u64>,
@@ -101,6 +103,7 @@
         let mut state = Self {
             boot,
             fence: 0,
+            sequence: 0,
             grants: Grants::default(),
             keys: BTreeMap::new(),
             areas: Vec::new(),
@@ -140,6 +143,7 @@
     pub(super) fn restart(&mut self) {
         self.boot = draw_boot(&mut self.rng);
         self.fence = 0;
+        self.sequence = 0;
         self.grants.clear();
         self.keys.clear();
         self.collapsed_until = None;
@@ -256,6 +260,19 @@
         })
     }
 
+    /// Returns the keys of running requests that no grant covers any more, whatever its expiry.
+    pub(super) fn finishing(&self) -> Vec<Key> {
+        let mut keys: Vec<u64> = self
+            .areas
+            .iter()
+            .filter(|(_, key, slot)| self.grants.covering(*key, *slot, 0).is_none())
+            .map(|(_, key, _)| *key)
+            .collect();
+        keys.sort_unstable();
+        keys.dedup();
+        keys.into_iter().map(Key::new).collect()
+    }
+
     pub(super) fn counts(&self) -> Counts {
         Counts {
             cold: self.cold.is_some(),
--- a/crates/kumquat-transport/src/upstream.rs
+++ b/crates/kumquat-transport/src/upstream.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use futures_util::{Stream, TryStreamExt};
+use kumquat_coordination::grant::{Order, Reply};
 use kumquat_state::ident;
 use reqwest::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use reqwest::{Method, StatusCode};
@@ -370,6 +371,24 @@
         }
     }
 
+    /// Sends an order, which names everything that the upstream owns, and returns its reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Failure`] if there is no proper answer within `time_left`; the order may have taken effect.
+    pub async fn order(
+        &self,
+        order: &Order,
+        slots: u32,
+        time_left: Duration,
+    ) -> Result<Reply, Failure> {
+        let granted = match self.grant(&Grant::from(order), time_left).await {
+            Ok(granted) | Err(GrantError::Rejected(granted)) => granted,
+            Err(GrantError::Failed(failure)) => return Err(failure),
+        };
+        Ok(granted.into_reply(order.sequence, slots))
+    }
+
     /// Waits for a connection to become free.
     async fn permit(&self, deadline: Instant) -> Result<OwnedSemaphorePermit, Failure> {
         let permit = Arc::clone(&self.permits).acquire_owned();
--- a/crates/kumquat-transport/src/upstream/grant.rs
+++ b/crates/kumquat-transport/src/upstream/grant.rs
@@ -1,6 +1,8 @@
 //! The `grant` module provides the grant call in its wire form.
 
-use kumquat_state::ident;
+use kumquat_coordination::grant::{Boot, Order, Rejection, Reply, Target};
+use kumquat_state::clock::Instant;
+use kumquat_state::{hash, ident};
 use serde::{Deserialize, Serialize};
 
 use super::Failure;
@@ -45,6 +47,10 @@
     pub fence: ident::Fence,
     /// Boot id that the granter knows; none in a first call, which a checking upstream rejects with its boot id.
     pub boot: Option<u64>,
+    /// Grows with each order under one fencing token; only whole orders have one.
+    pub sequence: u64,
+    /// Whether the order names everything that the upstream owns.
+    pub whole: bool,
     /// Expiry in the clock of the upstream.
     pub until_ms: u64,
     /// Granted slots; slots that are not listed keep their expiry.
@@ -71,6 +77,83 @@
     pub fence: ident::Fence,
     /// Slots that it holds.
     pub held: Vec<Span>,
+    /// Why the grant was rejected, if it was.
+    #[serde(default)]
+    pub rejection: Option<Refused>,
+    /// Keys of requests that still run although their slot or key is being given up.
+    #[serde(default)]
+    pub finishing: Vec<Key>,
+}
+
+/// Why an upstream rejected a grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Refused {
+    /// The grant is meant for another run of the upstream.
+    ForeignBoot,
+    /// A higher fencing token has been seen.
+    LowerFence,
+    /// A later order under the same fencing token has arrived before.
+    Overtaken,
+}
+
+impl From<&Order> for Grant {
+    fn from(order: &Order) -> Self {
+        let key = |hash: &u64| Key::new(*hash, ident::Epoch::default());
+        Self {
+            fence: order.fence,
+            boot: order.boot.map(|boot| boot.0),
+            sequence: order.sequence,
+            whole: true,
+            // The upstream's clock counts whole milliseconds; rounding down only shortens the grant.
+            until_ms: order.expires.as_micros() / 1_000,
+            spans: order
+                .grants
+                .spans
+                .iter()
+                .map(|span| Span {
+                    first: span.first,
+                    last: span.last,
+                    epoch: span.epoch,
+                })
+                .collect(),
+            release: Vec::new(),
+            keys: order
+                .grants
+                .keys
+                .iter()
+                .map(|key| Key::new(key.hash, key.epoch))
+                .collect(),
+            release_keys: Vec::new(),
+            without: Some(order.grants.withheld.iter().map(key).collect()),
+        }
+    }
+}
+
+impl Granted {
+    /// Returns the reply to the order with this sequence number; `slots` is the size of the service's key space.
+    pub(super) fn into_reply(self, sequence: u64, slots: u32) -> Reply {
+        let finishing = self.finishing.iter().filter_map(|key| {
+            let key = u64::from_str_radix(&key.key, 16).ok()?;
+            Some(Target {
+                slot: hash::slot(key, slots),
+                key,
+            })
+        });
+        let mut finishing: Vec<Target> = finishing.collect();
+        finishing.sort_unstable();
+        Reply {
+            sequence,
+            boot: Boot(self.boot),
+            clock: Instant::from_millis(self.clock_ms),
+            rejection: self.rejection.map(|refused| match refused {
+                Refused::ForeignBoot => Rejection::ForeignBoot,
+                Refused::LowerFence => Rejection::LowerFence,
+                Refused::Overtaken => Rejection::Overtaken,
+            }),
+            finishing,
+        }
+    }
 }
 
 /// Failure of a grant.
--- a/crates/kumquat-transport/tests/link.rs
+++ b/crates/kumquat-transport/tests/link.rs
@@ -70,7 +70,7 @@
     let connected = link::open(address, &options("vm-1", 8)).await;
     let accepted = accepting.await.expect("no panic");
 
-    assert!(connected.is_err());
+    connected.expect_err("a wrong secret");
     assert!(matches!(
         accepted,
         Err(Error::Protocol(kumquat_protocol::Error::Authentication(_)))
