--- a/crates/kumquat-transport/src/upstream.rs
+++ b/crates/kumquat-transport/src/upstream.rs
@@ -19,6 +19,7 @@
 mod failure;
 mod grant;
 
+pub(crate) use failure::chain;
 pub use failure::{Error, Failure};
 pub use grant::{Grant, GrantError, Granted, Key, Span};
 
