--- a/crates/kumquat-transport/src/lib.rs
+++ b/crates/kumquat-transport/src/lib.rs
@@ -1,8 +1,10 @@
 //! The `kumquat-transport` crate holds the connections of kumquatpond: links between its processes, streams over them,
 //! and the clients for upstreams and the platform's store.
 
+pub mod budget;
 pub mod errors;
 pub mod link;
+pub mod store;
 pub mod stream;
 pub mod upstream;
 
