--- a/crates/kumquat-state/src/audit.rs
+++ b/crates/kumquat-state/src/audit.rs
@@ -4,9 +4,9 @@
 //! that an operator gave stands in the envelope of the version that an entry names. See `docs/design.md`, section 2.1.
 
 mod segment;
+mod show;
 
 use std::collections::VecDeque;
-use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
@@ -144,23 +144,6 @@
     pub version: ident::Version,
 }
 
-impl fmt::Display for Entry {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match &self.who {
-            Actor::Operator(signer) => write!(f, "operator {signer}: ")?,
-            Actor::Vm(vm) => write!(f, "vm {vm}: ")?,
-        }
-        write!(f, "{:?}", self.what)?;
-        if let Some(from) = &self.from {
-            write!(f, " from {from:?}")?;
-        }
-        if let Some(to) = &self.to {
-            write!(f, " to {to:?}")?;
-        }
-        write!(f, ", cause {:?}, version {}", self.cause, self.version)
-    }
-}
-
 /// Returns the entries for a bundle that replaced another one.
 #[must_use]
 pub fn bundle_entries(
