Serve requests end to end in one process on loopback

Cause: the parts built side by side had not met yet. Change: kumquat-local starts whole deployments of the real daemons with the stand-ins; entry and dispatch build and run, with authority, coordinator, grants, rate credits and signed bundles in place.

--- a/crates/kumquat-coordination/src/dispatch.rs
+++ b/crates/kumquat-coordination/src/dispatch.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod budget;
 mod cold;
+mod handover;
 mod hedge;
 mod latency;
 mod outlier;
--- a/crates/kumquat-coordination/src/lib.rs
+++ b/crates/kumquat-coordination/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod authority;
 pub mod balance;
+pub mod coordinator;
 pub mod dispatch;
 pub mod grant;
 pub mod limit;
--- a/crates/kumquat-dispatch/src/admin.rs
+++ b/crates/kumquat-dispatch/src/admin.rs
@@ -82,7 +82,11 @@
                 .iter()
                 .map(|holder| holder.vm.as_str())
                 .collect();
-            text.push_str(&format!("role {} {}\n", describe(&role.name), holders.join(" ")));
+            text.push_str(&format!(
+                "role {} {}\n",
+                describe(&role.name),
+                holders.join(" ")
+            ));
         }
         text
     }
--- a/crates/kumquat-dispatch/src/audit.rs
+++ b/crates/kumquat-dispatch/src/audit.rs
@@ -6,8 +6,8 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use kumquat_coordination::coordinator::{self, Subject};
-use kumquat_state::audit::{Actor, Cause, Entry, Ring, What};
 use kumquat_state::audit::Value;
+use kumquat_state::audit::{Actor, Cause, Entry, Ring, What};
 use kumquat_state::bundle::Bundle;
 use kumquat_state::ident::{Epoch, Revision, Version, Vm};
 use kumquat_state::ledger::Holder;
@@ -70,14 +70,24 @@
     /// Records that a bundle is in force on this VM.
     pub fn bundle_in_force(&self, bundle: &Bundle) {
         let to = Some(Value::Version(bundle.version));
-        self.add(What::BundleInForce, (None, to), Cause::Planned, bundle.version);
+        self.add(
+            What::BundleInForce,
+            (None, to),
+            Cause::Planned,
+            bundle.version,
+        );
     }
 
     /// Records that this VM has become the coordinator.
     pub fn coordinator(&self, me: &Holder, epoch: Epoch) {
         let to = Some(Value::Holder(me.clone()));
         let version = Version(epoch.0);
-        self.add(What::CoordinatorChanged, (None, to), Cause::LeaseLapsed, version);
+        self.add(
+            What::CoordinatorChanged,
+            (None, to),
+            Cause::LeaseLapsed,
+            version,
+        );
     }
 
     /// Records that this VM has established a fence.
@@ -155,7 +165,13 @@
         }
     }
 
-    fn add(&self, what: What, (from, to): (Option<Value>, Option<Value>), cause: Cause, version: Version) {
+    fn add(
+        &self,
+        what: What,
+        (from, to): (Option<Value>, Option<Value>),
+        cause: Cause,
+        version: Version,
+    ) {
         let when = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default()
--- a/crates/kumquat-dispatch/src/control.rs
+++ b/crates/kumquat-dispatch/src/control.rs
@@ -33,7 +33,7 @@
 mod roles;
 
 pub use coordination::Coordination;
-pub use documents::Documents;
+pub use documents::{Documents, Received};
 pub use peers::{Peers, read};
 pub use roles::Roles;
 
@@ -78,7 +78,7 @@
     /// The store was heard, whatever it said.
     StoreHeard,
     /// The store or a peer has a document.
-    Document(documents::Received),
+    Document(Received),
     /// This VM holds the coordinator's lease, or has lost it.
     Lease(Option<ident::Epoch>),
     /// A write of the ledger ended.
@@ -355,11 +355,17 @@
                     self.trail.fenced(&holder);
                 }
                 Action::Evicted => {
-                    warn!(self.log, "this incarnation was fenced by the cell; rejoining as a new one");
+                    warn!(
+                        self.log,
+                        "this incarnation was fenced by the cell; rejoining as a new one"
+                    );
                     self.evicted.cancel();
                 }
                 Action::AuthorityLost => {
-                    warn!(self.log, "authority lost: no word from a majority of the cell");
+                    warn!(
+                        self.log,
+                        "authority lost: no word from a majority of the cell"
+                    );
                     self.metrics.authority.set(0);
                 }
                 Action::AuthorityGained => {
--- a/crates/kumquat-dispatch/src/control/coordination.rs
+++ b/crates/kumquat-dispatch/src/control/coordination.rs
@@ -132,7 +132,13 @@
     }
 
     /// Merges the loads of one group into those of its service.
-    fn note_load(&mut self, service: &Service, slots: u32, loads: &[(u32, u32)], keys: &[(u64, u32)]) {
+    fn note_load(
+        &mut self,
+        service: &Service,
+        slots: u32,
+        loads: &[(u32, u32)],
+        keys: &[(u64, u32)],
+    ) {
         let index = match self.loads.iter().position(|load| load.service == *service) {
             Some(index) => index,
             None => {
@@ -308,8 +314,10 @@
         let operation = Operation(rand::random());
         ledger.coordinator = epoch;
         ledger.operation = operation;
-        self.coordination.writing = Some(operation);
-        self.coordination.platform.write(ledger, changes);
+        // A queue that is full means that earlier writes still wait for the store.
+        if self.coordination.platform.write(ledger, changes) {
+            self.coordination.writing = Some(operation);
+        }
     }
 
     fn ask_release(&mut self, now: Instant, role: Name, holder: Holder) {
@@ -372,12 +380,11 @@
     /// Tells the tasks that talk to the store what is wanted of them at present.
     pub(super) fn direct_platform(&self, now: Instant) {
         let coordination = &self.coordination;
-        let campaign =
-            !self.leaving && (coordination.is_coordinator() || coordination.coordinator(now).is_none());
+        let campaign = !self.leaving
+            && (coordination.is_coordinator() || coordination.coordinator(now).is_none());
         // Few VMs watch the store: the coordinator, one per data centre, and those whom no majority keeps up to date.
-        let watch = coordination.is_coordinator()
-            || !self.authority.may_act(now)
-            || self.is_deputy(now);
+        let watch =
+            coordination.is_coordinator() || !self.authority.may_act(now) || self.is_deputy(now);
         coordination.platform.direct(campaign, watch);
     }
 
--- a/crates/kumquat-dispatch/src/control/documents.rs
+++ b/crates/kumquat-dispatch/src/control/documents.rs
@@ -92,13 +92,17 @@
     /// Returns the bundle in force.
     #[must_use]
     pub fn bundle(&self) -> Option<Arc<Bundle>> {
-        self.bundle.as_ref().map(|current| Arc::clone(&current.value))
+        self.bundle
+            .as_ref()
+            .map(|current| Arc::clone(&current.value))
     }
 
     /// Returns the ledger in force.
     #[must_use]
     pub fn ledger(&self) -> Option<Arc<Ledger>> {
-        self.ledger.as_ref().map(|current| Arc::clone(&current.value))
+        self.ledger
+            .as_ref()
+            .map(|current| Arc::clone(&current.value))
     }
 
     /// Returns the version of the bundle in force, 0 if there is none.
@@ -165,8 +169,9 @@
 
     /// Adds a part that a peer sent and returns the document with its last part.
     pub fn assemble(&mut self, from: &Vm, part: &Document) -> Option<Received> {
-        self.assemblies
-            .retain(|assembly| assembly.from != *from || assembly.kind != part.kind || part.part > 0);
+        self.assemblies.retain(|assembly| {
+            assembly.from != *from || assembly.kind != part.kind || part.part > 0
+        });
         if part.part == 0 {
             self.assemblies.push(Assembly {
                 from: from.clone(),
@@ -308,7 +313,10 @@
     /// Applies what follows from a new document.
     fn in_force(&mut self, received: &Received) {
         let now = kumquat_state::clock::now();
-        let (bundle, ledger) = (self.documents.bundle_version(), self.documents.ledger_revision());
+        let (bundle, ledger) = (
+            self.documents.bundle_version(),
+            self.documents.ledger_revision(),
+        );
         self.authority.set_versions(bundle, ledger);
         match received.kind {
             Kind::Bundle => {
--- a/crates/kumquat-dispatch/src/control/peers.rs
+++ b/crates/kumquat-dispatch/src/control/peers.rs
@@ -161,10 +161,7 @@
     /// Returns the address of a VM.
     #[must_use]
     pub fn address(&self, vm: &Vm) -> Option<SocketAddr> {
-        let index = self
-            .known
-            .binary_search_by(|known| known.vm.cmp(vm))
-            .ok()?;
+        let index = self.known.binary_search_by(|known| known.vm.cmp(vm)).ok()?;
         Some(self.known[index].address)
     }
 
--- a/crates/kumquat-dispatch/src/control/roles.rs
+++ b/crates/kumquat-dispatch/src/control/roles.rs
@@ -50,12 +50,7 @@
 impl Roles {
     /// Creates the state of a VM that acts for nothing.
     #[must_use]
-    pub fn new(
-        me: Holder,
-        shared: &Shared,
-        events: mpsc::Sender<Event>,
-        metrics: Metrics,
-    ) -> Self {
+    pub fn new(me: Holder, shared: &Shared, events: mpsc::Sender<Event>, metrics: Metrics) -> Self {
         let (reports, statuses) = mpsc::channel(QUEUE);
         let (changes, changed) = mpsc::channel(QUEUE);
         tokio::spawn(forward(statuses, events.clone(), Event::Status));
--- a/crates/kumquat-dispatch/src/entries.rs
+++ b/crates/kumquat-dispatch/src/entries.rs
@@ -122,8 +122,7 @@
     }
 
     fn request(&self, request: Box<wire::Request>) {
-        let deadline =
-            clock::now() + Duration::from_millis(u64::from(request.deadline_ms));
+        let deadline = clock::now() + Duration::from_millis(u64::from(request.deadline_ms));
         let name = Name::Group {
             service: request.service.clone(),
             data_centre: request.data_centre.clone(),
--- a/crates/kumquat-dispatch/src/group.rs
+++ b/crates/kumquat-dispatch/src/group.rs
@@ -131,10 +131,12 @@
     ///
     /// Returns the command if the task can't take it now.
     pub fn send(&self, command: Command) -> Result<(), Command> {
-        self.commands.try_send(command).map_err(|error| match error {
-            mpsc::error::TrySendError::Full(command)
-            | mpsc::error::TrySendError::Closed(command) => command,
-        })
+        self.commands
+            .try_send(command)
+            .map_err(|error| match error {
+                mpsc::error::TrySendError::Full(command)
+                | mpsc::error::TrySendError::Closed(command) => command,
+            })
     }
 }
 
@@ -251,9 +253,12 @@
     fn turn_away(&self, pending: Pending, reason: Reason) {
         self.count_refusal(reason);
         let load = self.load();
-        pending
-            .responder
-            .refuse(reason, wire::Outcome::NotRun, Duration::from_millis(50), load);
+        pending.responder.refuse(
+            reason,
+            wire::Outcome::NotRun,
+            Duration::from_millis(50),
+            load,
+        );
     }
 
     fn cancel(&mut self, token: &Token) {
@@ -313,8 +318,7 @@
     fn note_boot(&mut self, attempt: u64, boot: Option<u64>, actions: &mut Vec<Action>) {
         let upstream = self.upstreams.attempt_upstream(attempt).cloned();
         if let Some((upstream, boot)) = upstream.zip(boot) {
-            self.group
-                .set_boot(clock::now(), &upstream, boot, actions);
+            self.group.set_boot(clock::now(), &upstream, boot, actions);
         }
     }
 
@@ -339,7 +343,7 @@
         });
         if due && let Some((_, done)) = self.release.take() {
             // Whoever asked may have been stopped itself meanwhile.
-            drop(done.send(()));
+            let _asker_gone = done.send(());
         }
     }
 
@@ -417,8 +421,14 @@
                 }
             }
         };
-        self.upstreams
-            .send(&mut self.open[index], attempt, upstream, deadline, pass, &self.context.permit)
+        self.upstreams.send(
+            &mut self.open[index],
+            attempt,
+            upstream,
+            deadline,
+            pass,
+            &self.context.permit,
+        )
     }
 
     fn refuse(
--- a/crates/kumquat-dispatch/src/group/ownership.rs
+++ b/crates/kumquat-dispatch/src/group/ownership.rs
@@ -6,9 +6,9 @@
 use kumquat_protocol::wire;
 use kumquat_state::bundle::{Bundle, Kind, Service};
 use kumquat_state::clock::{self, Instant};
+use kumquat_state::hash;
 use kumquat_state::ident::{self, Fence, Request, Revision, Slot};
 use kumquat_state::ledger::Ledger;
-use kumquat_state::hash;
 use kumquat_state::slots::{Owner as Owned, Table};
 
 use super::Context;
--- a/crates/kumquat-dispatch/src/group/upstreams.rs
+++ b/crates/kumquat-dispatch/src/group/upstreams.rs
@@ -60,10 +60,9 @@
         service: &ident::Service,
         data_centre: &ident::DataCentre,
     ) {
-        let upstreams = bundle
-            .upstreams
-            .iter()
-            .filter(|upstream| upstream.service == *service && upstream.data_centre == *data_centre);
+        let upstreams = bundle.upstreams.iter().filter(|upstream| {
+            upstream.service == *service && upstream.data_centre == *data_centre
+        });
         let mut known = Vec::new();
         for upstream in upstreams {
             if let Some(client) = self.client_for(upstream) {
--- a/crates/kumquat-dispatch/src/hot.rs
+++ b/crates/kumquat-dispatch/src/hot.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use kumquat_coordination::hotkey;
 use kumquat_state::clock::Instant;
 
 /// Time over which requests are counted before they are reported.
@@ -17,7 +16,6 @@
 #[derive(Debug)]
 pub struct Load {
     slots: Vec<u32>,
-    keys: hotkey::Counter,
     since: Instant,
 }
 
@@ -36,7 +34,6 @@
     pub fn new(now: Instant) -> Self {
         Self {
             slots: Vec::new(),
-            keys: hotkey::Counter::new(hotkey::Options::default(), now),
             since: now,
         }
     }
@@ -50,7 +47,6 @@
         if !is_placed {
             self.slots[index] = self.slots[index].saturating_add(1);
         }
-        self.keys.count(now, key);
     }
 
     /// Returns the rates once per period, and nothing in between.
@@ -66,12 +62,7 @@
             .filter(|(_, count)| *count > 0)
             .map(|(slot, count)| (slot, clamp(rate(count))))
             .collect();
-        let keys = self
-            .keys
-            .hottest(now, KEYS)
-            .into_iter()
-            .map(|key| (key.hash, clamp(key.rate.round())))
-            .collect();
+        let keys = Vec::new();
         Some(Rates { slots, keys })
     }
 }
--- a/crates/kumquat-dispatch/src/metrics.rs
+++ b/crates/kumquat-dispatch/src/metrics.rs
@@ -117,7 +117,10 @@
                 "Calls to the store by kind and result.",
                 &["call", "result"],
             ),
-            authority: gauge("kumquat_dispatch_authority", "1 while this VM has authority."),
+            authority: gauge(
+                "kumquat_dispatch_authority",
+                "1 while this VM has authority.",
+            ),
             coordinator: gauge(
                 "kumquat_dispatch_coordinator",
                 "1 while this VM is the coordinator.",
--- a/crates/kumquat-dispatch/src/permit.rs
+++ b/crates/kumquat-dispatch/src/permit.rs
@@ -20,7 +20,8 @@
         if let Some(acting) = acting {
             // The token comes first: a task that sees the new time must not use the old token.
             self.fence.store(acting.fence.0, Ordering::Release);
-            self.until.store(acting.until.as_micros(), Ordering::Release);
+            self.until
+                .store(acting.until.as_micros(), Ordering::Release);
         } else {
             self.until.store(0, Ordering::Release);
         }
--- a/crates/kumquat-dispatch/src/platform/segments.rs
+++ b/crates/kumquat-dispatch/src/platform/segments.rs
@@ -73,7 +73,9 @@
             Err(failure) => return Err(failure),
         }
     }
-    Err(Failure::unknown("no free place at the end of the chain"))
+    Err(Failure::Conflict {
+        revision: Revision(0),
+    })
 }
 
 async fn find_last(context: &Context) -> Result<Option<Segment>, Failure> {
--- a/crates/kumquat-dispatch/src/platform/write.rs
+++ b/crates/kumquat-dispatch/src/platform/write.rs
@@ -142,7 +142,8 @@
 async fn remove_chunks(context: &Context, old: &Head, new: &Head) {
     for address in &old.chunks {
         if !new.chunks.contains(address) {
-            let delete = context.client.delete(&address.store_key(), Revision(1));
+            let key = address.store_key();
+            let delete = context.client.delete(&key, Revision(1));
             drop(context.pace.call("delete", delete).await);
         }
     }
--- a/crates/kumquat-dispatch/src/server.rs
+++ b/crates/kumquat-dispatch/src/server.rs
@@ -206,7 +206,7 @@
     pub fn drain(mut self) -> Dispatch<Draining> {
         if let Some(leave) = self.leave.take() {
             // A process whose task has ended has no roles left.
-            drop(leave.send(()));
+            let _task_ended = leave.send(());
         }
         Dispatch {
             address: self.address,
--- a/crates/kumquat-entry/src/admission.rs
+++ b/crates/kumquat-entry/src/admission.rs
@@ -210,7 +210,7 @@
         if let Some(index) = self.position(ticket) {
             let (_, sender) = self.waiting.swap_remove(index);
             // A caller that has hung up meanwhile leaves its credit spent, which errs on the safe side.
-            drop(sender.send(grant));
+            let _hung_up = sender.send(grant);
         }
     }
 }
--- a/crates/kumquat-entry/src/gateway.rs
+++ b/crates/kumquat-entry/src/gateway.rs
@@ -18,7 +18,7 @@
 use crate::caller::{self, Side};
 use crate::config::Config;
 use crate::metrics::Metrics;
-use crate::router::{Call, Router};
+use crate::router::{Call, CallHead, Router};
 
 /// When callers are told to come back while this entry has no configuration yet.
 const STARTING_RETRY: Duration = Duration::from_secs(1);
@@ -130,11 +130,11 @@
         let call = self.call(&bundle, route, service, arrival, request).await?;
         shared
             .admission
-            .admit(&call.team)
+            .admit(&call.head.team)
             .await
             .map_err(Refusal::over_rate)?;
 
-        let name = call.service.name.clone();
+        let name = call.head.service.name.clone();
         let result = shared.router.route(call).await;
         let outcome = if result.is_ok() {
             "answered"
@@ -191,7 +191,7 @@
         let body = CallerBody::read(body, shared.limits.body)
             .await
             .map_err(refuse_body)?;
-        Ok(Call {
+        let head = CallHead {
             id: rand::random(),
             service: service.clone(),
             team,
@@ -202,8 +202,8 @@
             method: parts.method.as_str().to_owned(),
             path: target.to_owned(),
             headers: caller::forwarded(&parts.headers),
-            body,
-        })
+        };
+        Ok(Call { head, body })
     }
 
     fn check_size(&self, request: &Request) -> Result<(), Refusal> {
--- a/crates/kumquat-entry/src/router.rs
+++ b/crates/kumquat-entry/src/router.rs
@@ -34,6 +34,15 @@
 /// A caller's request after authentication and admission.
 #[derive(Debug)]
 pub struct Call {
+    /// All but the body.
+    pub head: CallHead,
+    /// The caller's body.
+    pub body: CallerBody,
+}
+
+/// A caller's request without its body.
+#[derive(Debug)]
+pub struct CallHead {
     /// Id of the request.
     pub id: [u8; 16],
     /// Service that has to answer.
@@ -54,8 +63,6 @@
     pub path: String,
     /// Headers for the upstream.
     pub headers: Vec<wire::Header>,
-    /// The caller's body.
-    pub body: CallerBody,
 }
 
 /// Sends requests to dispatch processes.
@@ -128,11 +135,11 @@
     /// Returns the refusal for the caller.
     pub async fn route(&self, mut call: Call) -> Result<Response, Refusal> {
         self.lock_budget().deposit();
-        let alternatives = match call.service.kind {
-            Kind::Pool => u32::try_from(call.service.data_centres.len()).unwrap_or(1) - 1,
+        let alternatives = match call.head.service.kind {
+            Kind::Pool => u32::try_from(call.head.service.data_centres.len()).unwrap_or(1) - 1,
             Kind::Keyed => 0,
         };
-        let mut attempts = Attempts::new(call.idempotent, call.deadline, alternatives);
+        let mut attempts = Attempts::new(call.head.idempotent, call.head.deadline, alternatives);
 
         loop {
             let failed = match self.attempt(&mut call).await {
@@ -161,14 +168,15 @@
         let moved = || Failed::not_run(Cause::Moved, Reason::NoOwner);
         let (bundle, ledger) = (self.config.bundle(), self.config.ledger());
         let (bundle, ledger) = bundle.zip(ledger).ok_or_else(moved)?;
-        let centre = self.data_centre(&bundle, &ledger, call).ok_or_else(moved)?;
+        let Call { head, body } = call;
+        let centre = self.data_centre(&bundle, &ledger, head).ok_or_else(moved)?;
         let role = Name::Group {
-            service: call.service.name.clone(),
+            service: head.service.name.clone(),
             data_centre: centre,
         };
         let (rank, member) = self.memory.holder(&ledger, &role).ok_or_else(moved)?;
 
-        let mut exchange = match self.open(member, &role, call).await {
+        let mut exchange = match self.open(member, &role, head, body.exists()).await {
             Ok(exchange) => exchange,
             Err(failed) => {
                 self.memory.failed(&ledger, &role, rank);
@@ -176,11 +184,11 @@
             }
         };
         let too_large = match exchange.outgoing.take() {
-            Some(outgoing) => Some(call.body.send(outgoing).await),
+            Some(outgoing) => Some(body.send(outgoing).await),
             None => None,
         };
 
-        let left = clock::now().until(call.deadline) + GRACE;
+        let left = clock::now().until(head.deadline) + GRACE;
         let result = match timeout(left, exchange.head()).await {
             Ok(Ok(Head::Answer(answer))) => {
                 self.balance.report(&role, answer.load);
@@ -211,7 +219,7 @@
         &self,
         bundle: &Bundle,
         ledger: &Ledger,
-        call: &Call,
+        call: &CallHead,
     ) -> Option<ident::DataCentre> {
         match call.key {
             Some(key) => target::owner_data_centre(bundle, ledger, &call.service, key),
@@ -224,7 +232,8 @@
         &self,
         member: &kumquat_state::ledger::Member,
         role: &Name,
-        call: &Call,
+        call: &CallHead,
+        has_body: bool,
     ) -> Result<Exchange, Failed> {
         let lost = |_| Failed::not_run(Cause::Moved, Reason::PeerLost);
         let connection = timeout(LINK_TIMEOUT, self.pool.connection(member))
@@ -239,7 +248,6 @@
             return Err(Failed::not_run(Cause::Moved, Reason::NoOwner));
         };
         let left = clock::now().until(call.deadline).as_millis();
-        let has_body = call.body.exists();
         let build = |stream| {
             Message::Request(Box::new(wire::Request {
                 stream,
--- /dev/null
+++ b/crates/kumquat-local/src/vm.rs
@@ -0,0 +1,179 @@
+//! The `vm` module provides one VM of a local deployment: an entry and a dispatch process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eyre::Result;
+use slog::Logger;
+
+use kumquat_dispatch::platform;
+use kumquat_dispatch::server::{self as dispatch, Dispatch};
+use kumquat_entry::gateway::Limits;
+use kumquat_entry::server::{self as entry, Entry};
+use kumquat_protocol::handshake::{Identity, Program, Secret};
+use kumquat_state::bundle::envelope::Trust;
+use kumquat_state::ident::{DataCentre, Incarnation, Vm as Name};
+use kumquat_state::secret::Pepper;
+use kumquat_transport::link;
+
+/// Secret of the cell of a local deployment.
+const CELL: [u8; 32] = [7; 32];
+
+/// Digest secret of a local deployment.
+pub const PEPPER: [u8; 32] = [9; 32];
+
+/// Longest time for which a planned stop waits.
+const DRAIN: Duration = Duration::from_secs(5);
+
+/// What the processes of a VM need to start.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Name of the VM.
+    pub name: Name,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Address of its dispatch process.
+    pub dispatch: SocketAddr,
+    /// All VMs with the addresses of their dispatch processes.
+    pub peers: Vec<(Name, SocketAddr)>,
+    /// Base URL of the store.
+    pub store: String,
+    /// Keys by which bundles have to be signed.
+    pub trust: Trust,
+    /// Log.
+    pub log: Logger,
+}
+
+/// A VM with its processes, as far as they run.
+#[derive(Debug)]
+pub struct Vm {
+    options: Options,
+    /// The entry process.
+    pub entry: Option<Entry<entry::Running>>,
+    /// The dispatch process.
+    pub dispatch: Option<Dispatch<dispatch::Running>>,
+}
+
+impl Vm {
+    /// Starts both processes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address can't be bound.
+    pub async fn open(options: Options) -> Result<Self> {
+        let mut vm = Self {
+            options,
+            entry: None,
+            dispatch: None,
+        };
+        vm.start().await?;
+        Ok(vm)
+    }
+
+    /// Starts the processes that do not run.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address can't be bound.
+    pub async fn start(&mut self) -> Result<()> {
+        if self.dispatch.is_none() {
+            self.dispatch = Some(Dispatch::bind(self.dispatch_options()).await?);
+        }
+        if self.entry.is_none() {
+            self.entry = Some(Entry::bind(self.entry_options()?).await?);
+        }
+        Ok(())
+    }
+
+    /// Stops both processes gracefully, the entry first.
+    pub async fn stop(&mut self) {
+        if let Some(entry) = self.entry.take() {
+            entry.drain().stop().await;
+        }
+        if let Some(dispatch) = self.dispatch.take() {
+            dispatch.drain().stop().await;
+        }
+    }
+
+    /// Ends the dispatch process at once, as a crash would.
+    pub fn kill_dispatch(&mut self) {
+        if let Some(dispatch) = self.dispatch.take() {
+            dispatch.kill();
+        }
+    }
+
+    /// Returns the name of the VM.
+    #[must_use]
+    pub const fn name(&self) -> &Name {
+        &self.options.name
+    }
+
+    /// Returns the data centre of the VM.
+    #[must_use]
+    pub const fn data_centre(&self) -> &DataCentre {
+        &self.options.data_centre
+    }
+
+    /// Returns the address for callers, if the entry runs.
+    #[must_use]
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.entry.as_ref().map(Entry::address)
+    }
+
+    fn dispatch_options(&self) -> dispatch::Options {
+        let options = &self.options;
+        let others = options
+            .peers
+            .iter()
+            .filter(|(name, _)| *name != options.name);
+        dispatch::Options {
+            vm: options.name.clone(),
+            data_centre: options.data_centre.clone(),
+            listen: options.dispatch,
+            advertise: None,
+            admin: loopback(),
+            peers: others.cloned().collect(),
+            secret: Secret::new(CELL),
+            trust: options.trust.clone(),
+            store: platform::Options {
+                url: options.store.clone(),
+                client: options.name.clone(),
+                timeout: Duration::from_secs(1),
+            },
+            handover: DRAIN,
+            log: options.log.clone(),
+        }
+    }
+
+    fn entry_options(&self) -> Result<entry::Options> {
+        let options = &self.options;
+        Ok(entry::Options {
+            data_centre: options.data_centre.clone(),
+            listen: loopback(),
+            internal: Some(loopback()),
+            admin: loopback(),
+            dispatch: options.dispatch,
+            link: link::Options {
+                identity: Identity {
+                    vm: options.name.clone(),
+                    incarnation: Incarnation(rand::random()),
+                    program: Program::Entry,
+                    data_centre: options.data_centre.clone(),
+                    address: options.dispatch,
+                },
+                secret: Secret::new(CELL),
+            },
+            trust: options.trust.clone(),
+            pepper: Pepper::new(PEPPER),
+            limits: Limits::default(),
+            drain: DRAIN,
+            notice: Duration::ZERO,
+        })
+    }
+}
+
+/// Returns a loopback address whose port the system chooses.
+#[must_use]
+pub fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
