--- a/crates/kumquat-standins/src/lib.rs
+++ b/crates/kumquat-standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! Each stand-in binds a loopback address, returns a running handle, and takes its faults through that handle. The
 //! stand-ins are for tests, the demonstration and the benchmarks; the product uses none of them.
 
+pub mod list;
 pub mod net;
 pub mod observation;
 pub mod store;
--- a/crates/kumquat-standins/src/upstream.rs
+++ b/crates/kumquat-standins/src/upstream.rs
@@ -6,7 +6,6 @@
 //! answer for that request.
 
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -259,10 +258,12 @@
         lock(&self.core.state).grants.held(now)
     }
 
-    /// Returns the number of requests so far at all upstreams of this process.
-    #[must_use]
-    pub fn serials() -> u64 {
-        state::SERIAL.load(Ordering::Relaxed)
+    /// Lets all grants lapse now, as if their time had passed.
+    pub fn expire_grants(&self) {
+        let options = &self.core.options;
+        let mut state = lock(&self.core.state);
+        state.grants.expire();
+        self.core.ledger.reset(&options.service, &options.name);
     }
 
     /// Stops the upstream; its running requests break off.
--- a/crates/kumquat-standins/src/upstream/grant.rs
+++ b/crates/kumquat-standins/src/upstream/grant.rs
@@ -143,6 +143,13 @@
         self.without = keys;
     }
 
+    /// Ends all grants, whose epochs stay known.
+    pub(super) fn expire(&mut self) {
+        for held in self.areas.values_mut() {
+            held.until_ms = 0;
+        }
+    }
+
     pub(super) fn clear(&mut self) {
         *self = Self::default();
     }
--- a/crates/kumquat-standins/src/upstream/state.rs
+++ b/crates/kumquat-standins/src/upstream/state.rs
@@ -17,7 +17,7 @@
 const COLLAPSE_FACTOR: f64 = 10.0;
 
 /// Serial numbers of requests, unique over all upstreams of the process.
-pub(super) static SERIAL: AtomicU64 = AtomicU64::new(0);
+static SERIAL: AtomicU64 = AtomicU64::new(0);
 
 /// Counters of an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/kumquat-transport/tests/upstream.rs
+++ b/crates/kumquat-transport/tests/upstream.rs
@@ -354,6 +354,41 @@
     upstream.stop().await;
 }
 
+/// Guards against a run that takes effect after its grant has lapsed, when another upstream may own the key.
+#[tokio::test]
+async fn a_run_whose_grant_lapses_is_unknown() {
+    let (upstream, client, ledger) = upstream(keyed()).await;
+    let known = learn(&client).await;
+    let (sender, receiver) = mpsc::channel::<Result<Bytes, std::io::Error>>(1);
+    let call = Call {
+        key: Some(0),
+        fence: ident::Fence(256),
+        body: Body::stream(stream::unfold(receiver, async |mut receiver| {
+            receiver.recv().await.map(|piece| (piece, receiver))
+        })),
+        ..get("/", AMPLE)
+    };
+    client
+        .grant(&lower_half(&known), AMPLE)
+        .await
+        .expect("held");
+    let running = tokio::spawn({
+        let client = client.clone();
+        async move { client.send(call).await }
+    });
+    until(|| upstream.counts().running == 1).await;
+
+    upstream.expire_grants();
+    drop(sender);
+
+    let answer = running.await.expect("task").expect("answer");
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(answer.headers()["kumquat-outcome"], "unknown");
+    assert_eq!(upstream.counts().lapsed, 1);
+    assert_eq!(ledger.report().runs, 1);
+    upstream.stop().await;
+}
+
 /// Guards against work that a frozen upstream does, and against an upstream that does not come back.
 #[tokio::test]
 async fn a_frozen_upstream_answers_nothing_until_it_thaws() {
