Add a virtual-time harness for dispatch policies

Two baselines run beside it: power of two choices with local counts, and slot leases that move every 100 ms. The lease baseline is simple: a lease moves only when its holder has no queue.

--- /dev/null
+++ b/crates/kumquat-coordination/examples/dispatch_tuning/baseline.rs
@@ -0,0 +1,94 @@
+//! The `baseline` module provides the two policies that the product is compared with.
+
+use rand::RngExt;
+
+use super::model::{CENTRES, ENTRIES, Policy};
+use super::sim::{Event, NEAR, Sent, World, one_way};
+
+/// Time between two moves of leases, in microseconds.
+pub const LEASE_PERIOD: u64 = 100_000;
+
+/// A slot that an entry may use alone, for [`Policy::Leases`].
+#[derive(Clone, Copy, Debug)]
+pub struct Lease {
+    pub upstream: usize,
+    pub entry: usize,
+    pub busy: bool,
+}
+
+impl World<'_> {
+    pub fn baseline_answer(&mut self, request: usize, answered: bool) {
+        self.at_entry(request, 0, answered, 0);
+    }
+
+    pub fn baseline_send(&mut self, request: usize, upstream: usize) {
+        let entry = self.requests[request].entry;
+        let attempt = request as u64;
+        self.report.attempts += u64::from(self.is_measured(request));
+        self.sent[entry].push(Sent {
+            attempt,
+            request,
+            upstream,
+        });
+        let way = 2 * one_way(self.setup, entry % CENTRES, upstream % CENTRES) - NEAR;
+        let event = Event::AtUpstream {
+            upstream,
+            group: entry,
+            attempt,
+        };
+        // Both ways are charged on the way there, so that the ways back are equal for all policies.
+        self.at(self.now + way, event);
+    }
+
+    pub fn send_by_count(&mut self, request: usize) {
+        let entry = self.requests[request].entry;
+        let first = self.rng.random_range(0..self.setup.upstreams);
+        let second = self.rng.random_range(0..self.setup.upstreams);
+        let local = &mut self.local[entry];
+        let upstream = if local[first] <= local[second] {
+            first
+        } else {
+            second
+        };
+        local[upstream] += 1;
+        self.baseline_send(request, upstream);
+    }
+
+    pub fn use_leases(&mut self, entry: usize) {
+        let (now, requests) = (self.now, &self.requests);
+        let before = self.waiting[entry].len();
+        self.waiting[entry].retain(|request| requests[*request].deadline > now);
+        let expired = before - self.waiting[entry].len();
+        self.report.refused += expired as u64;
+        while !self.waiting[entry].is_empty() {
+            let free = self
+                .leases
+                .iter_mut()
+                .find(|lease| lease.entry == entry && !lease.busy);
+            let Some(lease) = free else {
+                break;
+            };
+            lease.busy = true;
+            let upstream = lease.upstream;
+            let request = self.waiting[entry].remove(0);
+            self.baseline_send(request, upstream);
+        }
+    }
+
+    pub fn move_leases(&mut self) {
+        self.at(self.now + LEASE_PERIOD, Event::MoveLeases);
+        if self.setup.policy != Policy::Leases {
+            return;
+        }
+        for index in 0..self.leases.len() {
+            let lease = self.leases[index];
+            let longest = (0..ENTRIES)
+                .max_by_key(|entry| self.waiting[*entry].len())
+                .expect("an entry");
+            if !lease.busy && self.waiting[lease.entry].is_empty() && longest != lease.entry {
+                self.leases[index].entry = longest;
+                self.use_leases(longest);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/kumquat-coordination/examples/dispatch_tuning/model.rs
@@ -0,0 +1,374 @@
+//! The `model` module provides the synthetic parts of a run: its setup, its upstreams and its report.
+
+use std::time::Duration;
+
+use kumquat_coordination::{balance, dispatch};
+use kumquat_state::bundle::{Class, Kind};
+use rand::RngExt;
+use rand::rngs::SmallRng;
+
+/// Teams of a run; the first two are large.
+pub const WEIGHTS: [u32; 8] = [4, 3, 1, 1, 1, 1, 1, 1];
+
+/// Entries of a deployment.
+pub const ENTRIES: usize = 9;
+
+/// Data centres of a deployment.
+pub const CENTRES: usize = 3;
+
+/// Latency of a cold upstream relative to a warm one; it falls to 1 while the upstream warms up.
+const COLD_FACTOR: f64 = 4.0;
+
+/// Requests that wait inside an upstream beyond its slots before it sheds.
+const BACKLOG: usize = 64;
+
+/// Who decides where an attempt runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// One dispatching VM per group with an exact queue: the product.
+    Groups,
+    /// Each entry takes the better of two random upstreams by its own count of running requests.
+    LocalCounts,
+    /// Each entry holds leases of single slots, which move to the longest queue every 100 ms.
+    Leases,
+}
+
+/// An upstream that changes during a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Change {
+    /// Number of the upstream.
+    pub upstream: usize,
+    /// When it changes.
+    pub at: Duration,
+}
+
+/// Everything that a run depends on.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Seed of all randomness.
+    pub seed: u64,
+    /// Kind of the service.
+    pub kind: Kind,
+    /// Number of upstreams, dealt out to the data centres in turn.
+    pub upstreams: usize,
+    /// Slots per upstream.
+    pub slots: u32,
+    /// Round trip between data centres.
+    pub distance: Duration,
+    /// Mean service time.
+    pub service: Duration,
+    /// Spread of the log-normal service time.
+    pub sigma: f64,
+    /// Arrival rate relative to the capacity.
+    pub load: f64,
+    /// Factor on the rate of the last team.
+    pub flood: f64,
+    /// Share of urgent requests.
+    pub urgent: f64,
+    /// Share of idempotent requests.
+    pub idempotent: f64,
+    /// Deadline of urgent and of ordinary requests.
+    pub deadlines: [Duration; 2],
+    /// Length of the run.
+    pub length: Duration,
+    /// Start of the measurement; before it the upstreams warm up.
+    pub measured_from: Duration,
+    /// Upstreams that become ten times slower.
+    pub stragglers: Vec<Change>,
+    /// Upstreams that turn cold.
+    pub cold: Vec<Change>,
+    /// Whether a cold start shows in the boot id at once.
+    pub cold_is_announced: bool,
+    /// Who decides.
+    pub policy: Policy,
+    /// Options of the groups.
+    pub group: dispatch::Options,
+    /// Options of the entries.
+    pub balance: balance::Options,
+}
+
+impl Setup {
+    /// A quiet run of a pool service of Port Louis.
+    pub fn quiet(seed: u64) -> Self {
+        Self {
+            seed,
+            kind: Kind::Pool,
+            upstreams: 7,
+            slots: 2,
+            distance: Duration::from_micros(500),
+            service: Duration::from_millis(4),
+            sigma: 0.8,
+            load: 0.5,
+            flood: 1.0,
+            urgent: 0.3,
+            idempotent: 0.8,
+            deadlines: [Duration::from_millis(100), Duration::from_millis(200)],
+            length: Duration::from_secs(23),
+            measured_from: Duration::from_secs(3),
+            stragglers: Vec::new(),
+            cold: Vec::new(),
+            cold_is_announced: true,
+            policy: Policy::Groups,
+            group: dispatch::Options::default(),
+            balance: balance::Options::default(),
+        }
+    }
+
+    /// A quiet run of a pool service of Dar es Salaam.
+    pub fn quiet_far(seed: u64) -> Self {
+        Self {
+            upstreams: 8,
+            slots: 3,
+            distance: Duration::from_micros(1_500),
+            ..Self::quiet(seed)
+        }
+    }
+
+    /// Requests per second that all upstreams complete when they are busy.
+    pub fn capacity(&self) -> f64 {
+        count(self.upstreams) * f64::from(self.slots) / self.service.as_secs_f64()
+    }
+}
+
+/// An attempt at an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Job {
+    pub group: usize,
+    pub attempt: u64,
+    pub token: u64,
+    /// Time at which the upstream drops it if it has not begun.
+    pub deadline: u64,
+}
+
+/// What an upstream does with a new attempt.
+pub enum Reception {
+    /// It runs until this time.
+    Runs(u64),
+    /// It waits inside the upstream.
+    Waits,
+    /// It is refused as "not run".
+    Sheds,
+}
+
+/// An upstream with slots, cold start and slowness.
+#[derive(Debug)]
+pub struct Server {
+    pub slots: u32,
+    pub is_cold: bool,
+    pub completed: u32,
+    pub slowness: f64,
+    pub running: Vec<Job>,
+    pub waiting: Vec<Job>,
+    pub boot: u64,
+    /// Attempts received beyond what a cold upstream bears.
+    pub overloads: u64,
+    /// Most attempts inside the upstream at once.
+    pub most: u64,
+}
+
+impl Server {
+    pub fn new(slots: u32) -> Self {
+        Self {
+            slots,
+            is_cold: true,
+            completed: 0,
+            slowness: 1.0,
+            running: Vec::new(),
+            waiting: Vec::new(),
+            boot: 1,
+            overloads: 0,
+            most: 0,
+        }
+    }
+
+    fn bears(&self) -> usize {
+        let bears = if self.is_cold {
+            self.slots.min(1 + self.completed / 8)
+        } else {
+            self.slots
+        };
+        bears as usize
+    }
+
+    pub fn chill(&mut self) {
+        self.is_cold = true;
+        self.completed = 0;
+        self.boot += 1;
+    }
+
+    pub fn receive(&mut self, now: u64, job: Job, setup: &Setup, rng: &mut SmallRng) -> Reception {
+        self.most = self
+            .most
+            .max((self.running.len() + self.waiting.len() + 1) as u64);
+        if self.running.len() < self.bears() {
+            self.running.push(job);
+            return Reception::Runs(now + self.service(setup, rng));
+        }
+        if self.is_cold {
+            self.overloads += 1;
+            return Reception::Sheds;
+        }
+        if self.waiting.len() < BACKLOG {
+            self.waiting.push(job);
+            return Reception::Waits;
+        }
+        Reception::Sheds
+    }
+
+    fn service(&self, setup: &Setup, rng: &mut SmallRng) -> u64 {
+        let mean = setup.service.as_secs_f64();
+        let location = mean.ln() - setup.sigma * setup.sigma / 2.0;
+        let time = (location + setup.sigma * normal(rng)).exp();
+        let warmth = f64::from(self.completed) / f64::from(8 * self.slots);
+        let cold = if self.is_cold {
+            1.0 + (COLD_FACTOR - 1.0) * (1.0 - warmth).max(0.0)
+        } else {
+            1.0
+        };
+        micros(time * cold * self.slowness)
+    }
+
+    /// Ends a job; returns it if it was still running.
+    pub fn complete(&mut self, token: u64) -> Option<Job> {
+        let position = self.running.iter().position(|job| job.token == token)?;
+        let job = self.running.swap_remove(position);
+        self.completed += 1;
+        if self.is_cold && self.completed >= 8 * self.slots {
+            self.is_cold = false;
+        }
+        Some(job)
+    }
+
+    /// Starts the next waiting job, if any, and returns its token and end.
+    pub fn advance(&mut self, now: u64, setup: &Setup, rng: &mut SmallRng) -> Option<(u64, u64)> {
+        self.waiting.retain(|job| job.deadline > now);
+        if self.waiting.is_empty() || self.running.len() >= self.bears() {
+            return None;
+        }
+        let job = self.waiting.remove(0);
+        self.running.push(job);
+        Some((job.token, now + self.service(setup, rng)))
+    }
+
+    /// Cancels a job; returns whether it was known.
+    pub fn cancel(&mut self, group: usize, attempt: u64) -> bool {
+        let before = self.running.len() + self.waiting.len();
+        let other = |job: &Job| job.group != group || job.attempt != attempt;
+        self.running.retain(other);
+        self.waiting.retain(other);
+        before > self.running.len() + self.waiting.len()
+    }
+}
+
+/// What a run measured.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Latencies in microseconds of urgent requests.
+    pub urgent: Vec<u64>,
+    /// Latencies of all requests.
+    pub all: Vec<u64>,
+    /// Latencies of all teams but the last, which may flood.
+    pub others: Vec<u64>,
+    pub arrivals: u64,
+    pub urgent_arrivals: u64,
+    pub urgent_in_time: u64,
+    pub others_arrivals: u64,
+    pub others_in_time: u64,
+    pub in_time: u64,
+    pub refused: u64,
+    pub attempts: u64,
+    pub hedges: u64,
+    pub retries: u64,
+    pub ejections: u64,
+    pub cold_turns: u64,
+    pub overloads: u64,
+    pub most_at_upstream: u64,
+    pub seconds: f64,
+    pub capacity: f64,
+    /// Time of the first ejection after a change of an upstream, in microseconds.
+    pub first_ejection: Option<u64>,
+}
+
+impl Report {
+    pub fn add(&mut self, class: Class, is_last_team: bool, latency: u64, in_time: bool) {
+        self.all.push(latency);
+        self.in_time += u64::from(in_time);
+        if class == Class::Urgent {
+            self.urgent.push(latency);
+            self.urgent_in_time += u64::from(in_time);
+        }
+        if !is_last_team {
+            self.others.push(latency);
+            self.others_in_time += u64::from(in_time);
+        }
+    }
+
+    /// Answers in time per second, relative to the capacity.
+    pub fn goodput(&self) -> f64 {
+        whole(self.in_time) / self.seconds / self.capacity
+    }
+
+    /// Extra attempts by hedging, relative to the requests.
+    pub fn hedge_share(&self) -> f64 {
+        whole(self.hedges) / whole(self.arrivals.max(1))
+    }
+
+    pub fn line(&self) -> String {
+        format!(
+            "p50 {:>6} p99 {:>6} | urgent p99 {:>6} in time {:.4} | others p99 {:>6} in time {:.4} | goodput {:.3} \
+             refused {:.4} hedged {:.4} retried {:.4} | ejected {} cold {} overloads {} most {}",
+            quantile(&self.all, 50),
+            quantile(&self.all, 99),
+            quantile(&self.urgent, 99),
+            whole(self.urgent_in_time) / whole(self.urgent_arrivals.max(1)),
+            quantile(&self.others, 99),
+            whole(self.others_in_time) / whole(self.others_arrivals.max(1)),
+            self.goodput(),
+            whole(self.refused) / whole(self.arrivals.max(1)),
+            self.hedge_share(),
+            whole(self.retries) / whole(self.arrivals.max(1)),
+            self.ejections,
+            self.cold_turns,
+            self.overloads,
+            self.most_at_upstream,
+        )
+    }
+}
+
+/// Returns the percentile of latencies, in microseconds; zero without any.
+pub fn quantile(values: &[u64], percent: usize) -> u64 {
+    let mut sorted = values.to_vec();
+    sorted.sort_unstable();
+    let position = (sorted.len() * percent).div_ceil(100).max(1) - 1;
+    sorted.get(position).copied().unwrap_or(0)
+}
+
+/// A sample of the standard normal distribution (Box-Muller).
+fn normal(rng: &mut SmallRng) -> f64 {
+    let radius = (-2.0 * (1.0 - rng.random::<f64>()).ln()).sqrt();
+    radius * (std::f64::consts::TAU * rng.random::<f64>()).cos()
+}
+
+/// A sample of the exponential distribution, in microseconds.
+pub fn exponential(rng: &mut SmallRng, rate: f64) -> u64 {
+    micros(-(1.0 - rng.random::<f64>()).ln() / rate)
+}
+
+/// Converts seconds to microseconds.
+pub fn micros(seconds: f64) -> u64 {
+    Duration::try_from_secs_f64(seconds).map_or(u64::MAX / 2, length)
+}
+
+/// Converts a duration to microseconds.
+pub fn length(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX / 2)
+}
+
+/// Converts a total to a float.
+pub fn whole(value: u64) -> f64 {
+    u32::try_from(value).map_or(f64::MAX, f64::from)
+}
+
+fn count(value: usize) -> f64 {
+    u32::try_from(value).map_or(f64::MAX, f64::from)
+}
