--- /dev/null
+++ b/crates/kumquat-daemon/src/lib.rs
@@ -0,0 +1,101 @@
+//! The `kumquat-daemon` crate holds what the daemons' programs share: the command line, structured logs and signals.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use eyre::{Result, WrapErr};
+use kumquat_settings::{Level, Settings};
+use kumquat_state::bundle::envelope::{PublicKey, Trust};
+use slog::{Drain, Logger, o};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Exit status for settings that can't be used.
+pub const INVALID_SETTINGS: u8 = 2;
+
+/// Log lines that wait for the writer; more are dropped and counted, so that logging never holds up a request.
+const LOG_QUEUE: usize = 4_096;
+
+/// Arguments of a daemon.
+#[derive(Clone, Debug, Parser)]
+pub struct Arguments {
+    /// Settings file of this VM.
+    #[arg(long, value_name = "FILE")]
+    pub settings: PathBuf,
+    /// Checks the settings and exits.
+    #[arg(long)]
+    pub check: bool,
+}
+
+/// Reads the settings that the arguments name, or ends with the status to exit with.
+///
+/// # Errors
+///
+/// Returns the exit status after the problems have been printed, or after a check that found none.
+pub fn read_settings(arguments: &Arguments) -> Result<Settings, ExitCode> {
+    match kumquat_settings::open(&arguments.settings) {
+        Ok(_) if arguments.check => Err(ExitCode::SUCCESS),
+        Ok(settings) => Ok(settings),
+        Err(problems) => {
+            for problem in &problems {
+                eprintln!("{problem}");
+            }
+            Err(ExitCode::from(INVALID_SETTINGS))
+        }
+    }
+}
+
+/// Returns the signers that the settings trust.
+///
+/// # Errors
+///
+/// Returns an error if a key can't be used.
+pub fn trust(settings: &Settings) -> Result<Trust> {
+    let keys = settings.signers.keys.iter().map(|signer| {
+        PublicKey::from_bytes(signer.name.clone(), &signer.key)
+            .wrap_err_with(|| format!("signer {}", signer.name))
+    });
+    let keys = keys.collect::<Result<Vec<_>>>()?;
+    Ok(Trust::new(keys, settings.signers.threshold)?)
+}
+
+/// Creates the log: one JSON object per line on standard error.
+///
+/// Dropping the returned guard flushes the log.
+pub fn log(settings: &Settings, program: &'static str) -> (Logger, slog_async::AsyncGuard) {
+    let level = match settings.log {
+        Level::Critical => slog::Level::Critical,
+        Level::Error => slog::Level::Error,
+        Level::Warning => slog::Level::Warning,
+        Level::Info => slog::Level::Info,
+        Level::Debug => slog::Level::Debug,
+        Level::Trace => slog::Level::Trace,
+    };
+    let json = slog_json::Json::default(std::io::stderr()).fuse();
+    let (drain, guard) = slog_async::Async::new(json)
+        .chan_size(LOG_QUEUE)
+        .build_with_guard();
+    let drain = drain.filter_level(level).fuse();
+    let vm = settings.vm.name.to_string();
+    let data_centre = settings.vm.data_centre.to_string();
+    let log = Logger::root(
+        drain,
+        o!("program" => program, "vm" => vm, "data_centre" => data_centre),
+    );
+    (log, guard)
+}
+
+/// Waits for SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Returns an error if the signals can't be handled.
+pub async fn stop_signal() -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("can't handle SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("can't handle SIGINT")?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- a/crates/kumquat-entry/src/answer.rs
+++ b/crates/kumquat-entry/src/answer.rs
@@ -12,6 +12,9 @@
 
 use crate::caller::Rejection;
 
+/// Header that names the request, so that a caller and an operator can speak of the same one.
+pub const REQUEST_HEADER: &str = "kumquat-request";
+
 /// Header that says whether a refused request may have run.
 pub const OUTCOME_HEADER: &str = "kumquat-outcome";
 
--- a/crates/kumquat-entry/src/gateway.rs
+++ b/crates/kumquat-entry/src/gateway.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicI64, Ordering};
 use std::time::Duration;
 
-use poem::http::{Method, StatusCode};
+use poem::http::{HeaderValue, Method, StatusCode};
 use poem::{Endpoint, Request, Response};
 
 use kumquat_state::bundle::{Bundle, Kind, Route, Service};
@@ -13,7 +13,7 @@
 use kumquat_state::secret::Pepper;
 
 use crate::admission::Admission;
-use crate::answer::Refusal;
+use crate::answer::{REQUEST_HEADER, Refusal};
 use crate::body::{CallerBody, Problem};
 use crate::caller::{self, Side};
 use crate::config::Config;
@@ -110,7 +110,7 @@
         Self { shared, side }
     }
 
-    async fn answer(&self, request: Request) -> Result<Response, Refusal> {
+    async fn answer(&self, request: Request, id: u128) -> Result<Response, Refusal> {
         let shared = &*self.shared;
         if shared.running.load(Ordering::Acquire) > shared.limits.running {
             return Err(Refusal::later(
@@ -127,7 +127,9 @@
         let (route, service) = find_route(&bundle, request.uri().path())?;
 
         let arrival = clock::now();
-        let call = self.call(&bundle, route, service, arrival, request).await?;
+        let call = self
+            .call(&bundle, (route, service), arrival, request, id)
+            .await?;
         shared
             .admission
             .admit(&call.head.team)
@@ -155,10 +157,10 @@
     async fn call(
         &self,
         bundle: &Bundle,
-        route: &Route,
-        service: &Service,
+        (route, service): (&Route, &Service),
         arrival: clock::Instant,
         request: Request,
+        id: u128,
     ) -> Result<Call, Refusal> {
         let shared = &*self.shared;
         // Without word from the cell, a withdrawn caller key could not be told from a valid one.
@@ -192,7 +194,7 @@
             .await
             .map_err(refuse_body)?;
         let head = CallHead {
-            id: rand::random(),
+            id: id.to_be_bytes(),
             service: service.clone(),
             team,
             key,
@@ -250,16 +252,21 @@
 
     async fn call(&self, req: Request) -> poem::Result<Response> {
         let mut running = Running::new(&self.shared);
-        let result = self.answer(req).await;
+        let id: u128 = rand::random();
+        let result = self.answer(req, id).await;
         running.answered = true;
-        Ok(result.unwrap_or_else(|refusal| {
+        let mut response = result.unwrap_or_else(|refusal| {
             self.shared
                 .metrics
                 .refusals
                 .with_label_values(&[refusal.reason])
                 .inc();
             refusal.into_response()
-        }))
+        });
+        if let Ok(id) = HeaderValue::try_from(format!("{id:032x}")) {
+            response.headers_mut().insert(REQUEST_HEADER, id);
+        }
+        Ok(response)
     }
 }
 
--- a/crates/kumquat-entry/src/main.rs
+++ b/crates/kumquat-entry/src/main.rs
@@ -1,3 +1,80 @@
-//! Entry daemon of kumquatpond: takes callers' HTTP requests.
+//! Entry daemon of kumquatpond: takes callers' HTTP requests and sends them to the acting dispatch processes.
 
-fn main() {}
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::Parser;
+use eyre::Result;
+use kumquat_daemon::Arguments;
+use kumquat_entry::gateway::Limits;
+use kumquat_entry::server::{Entry, Options};
+use kumquat_protocol::handshake::{Identity, Program, Secret};
+use kumquat_settings::Settings;
+use kumquat_state::ident::Incarnation;
+use kumquat_state::secret::Pepper;
+use kumquat_transport::link;
+use slog::{Logger, info};
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+/// Longest time for which a planned stop waits for running requests.
+const DRAIN: Duration = Duration::from_secs(30);
+
+/// Time for which a draining entry still takes connections, so that the balancer can notice its ready endpoint.
+const NOTICE: Duration = Duration::from_secs(5);
+
+fn main() -> Result<ExitCode> {
+    let arguments = Arguments::parse();
+    let settings = match kumquat_daemon::read_settings(&arguments) {
+        Ok(settings) => settings,
+        Err(status) => return Ok(status),
+    };
+    let (log, _guard) = kumquat_daemon::log(&settings, "kumquat-entry");
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?
+        .block_on(run(&settings, log))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn run(settings: &Settings, log: Logger) -> Result<()> {
+    let entry = Entry::bind(options(settings)?).await?;
+    info!(log, "entry started"; "address" => %entry.address(), "admin" => %entry.admin());
+    kumquat_daemon::stop_signal().await?;
+    info!(log, "entry draining");
+    entry.drain().stop().await;
+    info!(log, "entry stopped");
+    Ok(())
+}
+
+fn options(settings: &Settings) -> Result<Options> {
+    let entry = &settings.entry;
+    Ok(Options {
+        data_centre: settings.vm.data_centre.clone(),
+        listen: entry.listen,
+        internal: entry.internal,
+        admin: entry.admin,
+        dispatch: settings.dispatch.advertise,
+        link: link::Options {
+            identity: Identity {
+                vm: settings.vm.name.clone(),
+                incarnation: Incarnation(rand::random()),
+                program: Program::Entry,
+                data_centre: settings.vm.data_centre.clone(),
+                address: settings.dispatch.advertise,
+            },
+            secret: Secret::new(*settings.secrets.cell.expose()),
+        },
+        trust: kumquat_daemon::trust(settings)?,
+        pepper: Pepper::new(*settings.secrets.digest.expose()),
+        limits: Limits {
+            body: entry.body_limit,
+            headers: entry.header_limit,
+            running: i64::try_from(entry.connections).unwrap_or(i64::MAX),
+            ..Limits::default()
+        },
+        drain: DRAIN,
+        notice: NOTICE,
+    })
+}
--- a/crates/kumquat-settings/src/known.rs
+++ b/crates/kumquat-settings/src/known.rs
@@ -16,6 +16,7 @@
         "entry",
         Keys::Fixed(&[
             "listen",
+            "internal",
             "admin",
             "header-limit",
             "body-limit",
--- a/crates/kumquat-settings/src/lib.rs
+++ b/crates/kumquat-settings/src/lib.rs
@@ -57,6 +57,8 @@
 pub struct Entry {
     /// Address for callers.
     pub listen: SocketAddr,
+    /// Address for callers from the firm's own network; without it, internal routes are not served.
+    pub internal: Option<SocketAddr>,
     /// Address for operators and metrics.
     pub admin: SocketAddr,
     /// Longest head of a request in bytes.
@@ -211,12 +213,14 @@
 
 fn entry(reader: &mut Reader<'_>) -> Option<Entry> {
     let listen = reader.required("entry", "listen", value::LISTEN);
+    let internal = reader.missing_or("entry", "internal", value::LISTEN);
     let admin = reader.required("entry", "admin", value::LISTEN);
     let header_limit = reader.optional("entry", "header-limit", value::SIZE, 16 << 10);
     let body_limit = reader.optional("entry", "body-limit", value::SIZE, 8 << 20);
     let connections = reader.optional("entry", "connections", value::COUNT, 10_000);
     Some(Entry {
         listen: listen?,
+        internal: internal?,
         admin: admin?,
         header_limit: header_limit?,
         body_limit: body_limit?,
--- a/crates/kumquat-settings/src/read.rs
+++ b/crates/kumquat-settings/src/read.rs
@@ -150,6 +150,23 @@
         }
     }
 
+    /// Reads a value that may be missing; the outer option tells whether the reading went well.
+    #[expect(
+        clippy::option_option,
+        reason = "a missing key and a wrong value are different results"
+    )]
+    pub(crate) fn missing_or<T>(
+        &mut self,
+        section: &str,
+        key: &str,
+        kind: Kind<T>,
+    ) -> Option<Option<T>> {
+        match self.text(section, key) {
+            Some(text) => self.check(section, key, &text, kind).map(Some),
+            None => Some(None),
+        }
+    }
+
     /// Reads a given text as a value.
     pub(crate) fn check<T>(
         &mut self,
--- a/crates/kumquat-state/src/bundle/envelope.rs
+++ b/crates/kumquat-state/src/bundle/envelope.rs
@@ -160,6 +160,21 @@
     key: VerifyingKey,
 }
 
+impl PublicKey {
+    /// Creates a public key from its bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are no key, or a weak one, which verifies signatures that nobody made.
+    pub fn from_bytes(signer: ident::Signer, bytes: &[u8; 32]) -> Result<Self, Error> {
+        let key = VerifyingKey::from_bytes(bytes)
+            .ok()
+            .filter(|key| !key.is_weak())
+            .ok_or(Error::Key(PUBLIC))?;
+        Ok(Self { signer, key })
+    }
+}
+
 impl fmt::Display for PublicKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
@@ -176,12 +191,7 @@
 
     fn from_str(text: &str) -> Result<Self, Error> {
         let (signer, bytes) = read_key(text, PUBLIC)?;
-        // Weak keys verify signatures that nobody made.
-        let key = VerifyingKey::from_bytes(&bytes)
-            .ok()
-            .filter(|key| !key.is_weak())
-            .ok_or(Error::Key(PUBLIC))?;
-        Ok(Self { signer, key })
+        Self::from_bytes(signer, &bytes)
     }
 }
 
