Let teams within their rate wait while their home moves

Cause: a new home starts with an empty bucket and told entries to refuse, so that each move of a home refused requests of teams within their rate; a release that missed its revision was asked for again only after 300 ms. Change: an issuer reports a team as over its rate only after it has had time to settle; members confirm a new ledger to the coordinator at once; requests for releases are repeated per revision.

--- a/crates/kumquat-coordination/src/limit/issuer.rs
+++ b/crates/kumquat-coordination/src/limit/issuer.rs
@@ -8,6 +8,11 @@
 
 use super::{Ask, Credit, LIFETIME, Report};
 
+/// Time after the first credits of a new home during which requests wait for credits and are not refused.
+///
+/// Requests that came while the old home was lost and the new one could not issue yet have to be caught up with.
+const SETTLING: Duration = Duration::from_millis(700);
+
 /// Parts per credit: one credit per second accrues one part per microsecond, so that no rounding ever occurs.
 const PARTS: u64 = 1_000_000;
 
@@ -29,6 +34,8 @@
     level: u64,
     /// Time up to which credits have accrued.
     accrued: Instant,
+    /// Time from which an empty bucket shows that the team is over its rate.
+    settled: Instant,
     /// Credits issued and not yet known as spent, returned or expired.
     outstanding: u32,
     /// Batches in the order of their expiry.
@@ -70,6 +77,7 @@
             burst,
             level: 0,
             accrued: now + clock::lengthened(LIFETIME),
+            settled: now + clock::lengthened(LIFETIME) + SETTLING,
             outstanding: 0,
             batches: VecDeque::new(),
             accounts: Vec::new(),
@@ -135,8 +143,9 @@
             });
         }
         let short = count < need;
-        let retry_after =
-            (short && !self.is_returnable(holder)).then(|| self.retry_after(now, need - count));
+        // A bucket that has just started is empty whatever the team's rate; teams within their rate wait for it.
+        let over = short && now >= self.settled && !self.is_returnable(holder);
+        let retry_after = over.then(|| self.retry_after(now, need - count));
         let credit = Credit {
             sequence: ask.sequence,
             count,
--- a/crates/kumquat-demo/src/main.rs
+++ b/crates/kumquat-demo/src/main.rs
@@ -10,7 +10,7 @@
 use clap::{Parser, ValueEnum};
 use eyre::Result;
 use kumquat_local::{Deployment, Shape};
-use slog::{Discard, Logger, o};
+use slog::{Discard, Drain, Logger, o};
 
 use load::Load;
 use report::Report;
@@ -28,6 +28,9 @@
     /// Deployment whose sizes are used.
     #[arg(long, value_enum, default_value_t = Size::PortLouis)]
     deployment: Size,
+    /// Shows the daemons' logs on standard error.
+    #[arg(long)]
+    log: bool,
     /// Requests per second.
     #[arg(long, default_value_t = 400, value_parser = clap::value_parser!(u32).range(1..=5_000))]
     rate: u32,
@@ -46,7 +49,12 @@
         Size::PortLouis => Shape::port_louis(),
         Size::DarEsSalaam => Shape::dar_es_salaam(),
     };
-    let log = Logger::root(Discard, o!());
+    let log = if arguments.log {
+        let json = slog_json::Json::default(std::io::stderr()).fuse();
+        Logger::root(slog_async::Async::default(json).fuse(), o!())
+    } else {
+        Logger::root(Discard, o!())
+    };
 
     println!("starting {} VMs on loopback ...", shape.vms);
     let mut deployment = Deployment::open(&shape, &log).await?;
--- a/crates/kumquat-dispatch/src/control.rs
+++ b/crates/kumquat-dispatch/src/control.rs
@@ -271,6 +271,15 @@
                 self.release(peer, link, release);
                 Vec::new()
             }
+            Message::Confirmed(confirmed) => {
+                let holder = Holder {
+                    vm: peer.vm.clone(),
+                    incarnation: peer.incarnation,
+                };
+                let revision = ident::Revision(confirmed.revision);
+                self.coordination.note_confirmed(holder, revision);
+                Vec::new()
+            }
             Message::Report(report) => {
                 self.report(peer, &report);
                 Vec::new()
--- a/crates/kumquat-dispatch/src/control/coordination.rs
+++ b/crates/kumquat-dispatch/src/control/coordination.rs
@@ -9,7 +9,7 @@
 
 use kumquat_coordination::coordinator::{self, Coordinator, Group, Load, Released, Step, View};
 use kumquat_protocol::handshake::{Identity, Program};
-use kumquat_protocol::wire::{Message, Release, Report};
+use kumquat_protocol::wire::{Confirmed, Message, Release, Report};
 use kumquat_state::clock::{self, Instant};
 use kumquat_state::ident::{Epoch, Operation, Revision, Service, Slot, Vm};
 use kumquat_state::ledger::{Holder, Ledger, Member, Name};
@@ -34,6 +34,15 @@
 /// Time after which an unanswered request for a release is repeated.
 const RELEASE_REPEAT: Duration = Duration::from_millis(300);
 
+/// A request for a release that has not been answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Asked {
+    role: Name,
+    holder: Holder,
+    revision: Revision,
+    at: Instant,
+}
+
 /// What the coordinator's part knows.
 #[derive(Debug)]
 pub struct Coordination {
@@ -45,9 +54,11 @@
     loads: Vec<Load>,
     leaving: Vec<Vm>,
     other: Option<(Vm, Epoch, Instant)>,
+    /// Revisions that members confirmed before their next heartbeat, sorted.
+    confirmed: Vec<(Holder, Revision)>,
     writing: Option<Operation>,
     next_plan: Instant,
-    asked: Vec<(Name, Holder, Instant)>,
+    asked: Vec<Asked>,
 }
 
 impl Coordination {
@@ -63,6 +74,7 @@
             loads: Vec::new(),
             leaving: Vec::new(),
             other: None,
+            confirmed: Vec::new(),
             writing: None,
             next_plan: Instant::ORIGIN,
             asked: Vec::new(),
@@ -80,7 +92,7 @@
         self.released
             .retain(|old| old.role != role || old.holder != holder);
         self.asked
-            .retain(|(asked, by, _)| *asked != role || *by != holder);
+            .retain(|asked| asked.role != role || asked.holder != holder);
         self.released.push(Released {
             role,
             holder,
@@ -123,6 +135,21 @@
             .map(|(vm, _, _)| vm)
     }
 
+    /// Notes that a member has taken a ledger revision over.
+    pub fn note_confirmed(&mut self, holder: Holder, revision: Revision) {
+        match self
+            .confirmed
+            .binary_search_by(|(other, _)| other.cmp(&holder))
+        {
+            Ok(index) => {
+                let known = &mut self.confirmed[index].1;
+                *known = (*known).max(revision);
+            }
+            Err(index) => self.confirmed.insert(index, (holder, revision)),
+        }
+        self.next_plan = Instant::ORIGIN;
+    }
+
     fn note_group(&mut self, group: Group) {
         let old = self.groups.iter().position(|old| old.role == group.role);
         match old {
@@ -179,6 +206,7 @@
         coordination.planner = Coordinator::new();
         coordination.writing = None;
         coordination.asked.clear();
+        coordination.confirmed.clear();
         self.metrics.coordinator.set(i64::from(epoch.is_some()));
         match epoch {
             Some(epoch) => {
@@ -198,6 +226,7 @@
         self.coordination.next_plan = Instant::ORIGIN;
         if let Outcome::Stored(changes) = written.outcome {
             let revision = self.documents.ledger_revision();
+            slog::info!(self.log, "ledger stored"; "revision" => revision.0, "changes" => changes.len(), "first" => changes.first().map(|change| format!("{change:?}")));
             self.trail.ledger_changed(&changes, revision);
         }
     }
@@ -216,6 +245,17 @@
         }
     }
 
+    /// Tells the coordinator at once that a new ledger is in force here; moves wait for all holders' word.
+    pub(super) fn confirm_ledger(&mut self) {
+        let revision = self.documents.ledger_revision();
+        if let Some(vm) = self.coordination.coordinator(clock::now()) {
+            let confirmed = Confirmed {
+                revision: revision.0,
+            };
+            self.peers.send(vm, Message::Confirmed(confirmed));
+        }
+    }
+
     /// Takes the report of a peer's group.
     pub(super) fn report(&mut self, peer: &Identity, report: &Report) {
         let holder = Holder {
@@ -322,14 +362,22 @@
     fn ask_release(&mut self, now: Instant, role: &Name, holder: &Holder) {
         let revision = self.documents.ledger_revision();
         let asked = &mut self.coordination.asked;
-        asked.retain(|(_, _, at)| now.saturating_since(*at) < RELEASE_REPEAT);
+        // A release counts for one revision only, so a new revision needs a new one.
+        asked.retain(|asked| {
+            now.saturating_since(asked.at) < RELEASE_REPEAT && asked.revision == revision
+        });
         if asked
             .iter()
-            .any(|(name, by, _)| name == role && by == holder)
+            .any(|asked| asked.role == *role && asked.holder == *holder)
         {
             return;
         }
-        asked.push((role.clone(), holder.clone(), now));
+        asked.push(Asked {
+            role: role.clone(),
+            holder: holder.clone(),
+            revision,
+            at: now,
+        });
         if *holder == self.me {
             return self.roles.release(role, revision);
         }
@@ -373,6 +421,7 @@
             .map(|peer| (peer.holder.clone(), peer.ledger));
         std::iter::once((self.me.clone(), self.documents.ledger_revision()))
             .chain(peers)
+            .chain(self.coordination.confirmed.iter().cloned())
             .collect()
     }
 
--- a/crates/kumquat-dispatch/src/control/documents.rs
+++ b/crates/kumquat-dispatch/src/control/documents.rs
@@ -331,6 +331,7 @@
                     self.peers.set_members(&ledger.membership);
                     let actions = self.authority.set_membership(now, &ledger.membership);
                     self.act(actions);
+                    self.confirm_ledger();
                 }
             }
         }
--- a/crates/kumquat-local/src/deployment.rs
+++ b/crates/kumquat-local/src/deployment.rs
@@ -152,10 +152,15 @@
             .find(|upstream| upstream.name() == name)
     }
 
-    /// Stops everything gracefully.
-    pub async fn stop(self) {
-        for mut vm in self.vms {
-            vm.stop().await;
+    /// Stops everything; requests that are running are still answered.
+    ///
+    /// There is nobody left to hand roles over to, so the dispatch processes end at once.
+    pub async fn stop(mut self) {
+        for vm in &mut self.vms {
+            vm.stop_entry().await;
+        }
+        for vm in &mut self.vms {
+            vm.kill_dispatch();
         }
         for upstream in self.upstreams {
             upstream.stop().await;
--- a/crates/kumquat-local/src/vm.rs
+++ b/crates/kumquat-local/src/vm.rs
@@ -87,14 +87,19 @@
 
     /// Stops both processes gracefully, the entry first.
     pub async fn stop(&mut self) {
-        if let Some(entry) = self.entry.take() {
-            entry.drain().stop().await;
-        }
+        self.stop_entry().await;
         if let Some(dispatch) = self.dispatch.take() {
             dispatch.drain().stop().await;
         }
     }
 
+    /// Stops the entry gracefully.
+    pub async fn stop_entry(&mut self) {
+        if let Some(entry) = self.entry.take() {
+            entry.drain().stop().await;
+        }
+    }
+
     /// Ends the dispatch process at once, as a crash would.
     pub fn kill_dispatch(&mut self) {
         if let Some(dispatch) = self.dispatch.take() {
--- a/crates/kumquat-protocol/src/wire.rs
+++ b/crates/kumquat-protocol/src/wire.rs
@@ -69,6 +69,9 @@
     /// Asks a holder to stop acting for a role.
     #[serde(rename = "s")]
     Release(Release),
+    /// Tells the coordinator that a ledger revision is in force at the sender.
+    #[serde(rename = "y")]
+    Confirmed(Confirmed),
     /// What an acting holder knows of its group, for the coordinator.
     #[serde(rename = "o")]
     Report(Box<Report>),
@@ -446,6 +449,14 @@
     pub done: bool,
 }
 
+/// A ledger revision is in force at the sender.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Confirmed {
+    /// The revision.
+    #[serde(rename = "n")]
+    pub revision: u64,
+}
+
 /// What an acting holder knows of its group, for the coordinator.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
