--- a/crates/kumquat-state/src/bundle/text/scan.rs
+++ b/crates/kumquat-state/src/bundle/text/scan.rs
@@ -3,6 +3,8 @@
 //! The INI parser stops at its first error, accepts a key that spans lines, and does not report lines. Therefore each
 //! line is checked first, faulty lines are reported and left out, and the parser reads only what is well-formed.
 
+use std::fmt::Write as _;
+
 use ini::{Ini, ParseOption};
 
 use super::problem::{Problem, Problems};
@@ -75,53 +77,78 @@
 
 /// Splits a text into sections and reports every line that can't be read.
 pub(super) fn scan(text: &str, problems: &mut Problems) -> Vec<Section> {
-    let (clean, lines) = clean(text, problems);
-    let options = ParseOption {
-        enabled_quote: false,
-        enabled_escape: false,
-        ..ParseOption::default()
-    };
-    let parsed = match Ini::load_from_str_opt(&clean, options) {
-        Ok(parsed) => parsed,
-        Err(error) => {
-            problems.push(Problem {
-                line: Some(error.line),
+    let mut reader = Reader::default();
+    clean(text, &mut reader, problems);
+    reader.flush(problems);
+    reader.sections
+}
+
+/// Reads one section at a time, because the parser takes about ten times the memory of the text.
+#[derive(Debug, Default)]
+struct Reader {
+    /// Well-formed lines of the present section.
+    text: String,
+    /// Numbers of these lines.
+    lines: Vec<usize>,
+    sections: Vec<Section>,
+}
+
+impl Reader {
+    fn add(&mut self, number: usize, line: std::fmt::Arguments<'_>) {
+        // Writing to a string can't fail.
+        _ = writeln!(self.text, "{line}");
+        self.lines.push(number);
+    }
+
+    /// Reads the lines of the present section.
+    fn flush(&mut self, problems: &mut Problems) {
+        let options = ParseOption {
+            enabled_quote: false,
+            enabled_escape: false,
+            ..ParseOption::default()
+        };
+        // The parser keeps the order of the text, so that the lines can be assigned in the same order.
+        let mut lines = self.lines.drain(..);
+        let mut next_line = || lines.next().unwrap_or_default();
+        match Ini::load_from_str_opt(&self.text, options) {
+            Ok(parsed) => {
+                for (header, properties) in parsed {
+                    let Some(header) = header else { continue };
+                    self.sections.push(Section {
+                        line: next_line(),
+                        header,
+                        properties: properties
+                            .into_iter()
+                            .map(|(key, value)| Property {
+                                line: next_line(),
+                                key,
+                                value,
+                            })
+                            .collect(),
+                    });
+                }
+            }
+            Err(error) => problems.push(Problem {
+                line: Some(next_line()),
                 ..Problem::of_file(
                     "INI sections and keys",
-                    format!("correct the line: {}", error.msg),
+                    format!("correct the section: {}", error.msg),
                 )
-            });
-            return Vec::new();
+            }),
         }
-    };
-
-    // The parser keeps the order of the text, so that the lines can be assigned in the same order.
-    let mut lines = lines.into_iter();
-    let mut next_line = || lines.next().unwrap_or_default();
-    parsed
-        .iter()
-        .filter_map(|(header, properties)| Some((header?, properties)))
-        .map(|(header, properties)| Section {
-            line: next_line(),
-            header: header.to_owned(),
-            properties: properties
-                .iter()
-                .map(|(key, value)| Property {
-                    line: next_line(),
-                    key: key.to_owned(),
-                    value: value.to_owned(),
-                })
-                .collect(),
-        })
-        .collect()
+        self.text.clear();
+    }
 }
 
-/// Returns the well-formed lines of the text and their numbers.
-fn clean(text: &str, problems: &mut Problems) -> (String, Vec<usize>) {
-    let mut clean = String::with_capacity(text.len());
-    let mut lines = Vec::new();
+/// Passes the well-formed lines of the text to the reader and reports the others.
+fn clean(text: &str, reader: &mut Reader, problems: &mut Problems) {
     let mut in_section = false;
-    let mut report = |line, section: &str, value: &str, expectation: &str, remedy: &str| {
+    let report = |problems: &mut Problems,
+                  line,
+                  section: &str,
+                  value: &str,
+                  expectation: &str,
+                  remedy: &str| {
         problems.push(Problem {
             line: Some(line),
             section: section.to_owned(),
@@ -140,6 +167,7 @@
         // Checks of lists within a line may take quadratic time.
         if line.len() > LINE_LIMIT {
             report(
+                problems,
                 number,
                 &section,
                 line,
@@ -151,6 +179,7 @@
         // A backslash would join lines, and control characters would hide what an operator signs.
         if line.chars().any(|char| char.is_control() || char == '\\') {
             report(
+                problems,
                 number,
                 &section,
                 line,
@@ -165,6 +194,7 @@
                 .filter(|rest| !rest.contains([']', '[']));
             let Some(header) = header else {
                 report(
+                    problems,
                     number,
                     "",
                     line,
@@ -179,10 +209,8 @@
             };
             section = header.split_whitespace().collect::<Vec<_>>().join(" ");
             in_section = true;
-            clean.push('[');
-            clean.push_str(&section);
-            clean.push_str("]\n");
-            lines.push(number);
+            reader.flush(problems);
+            reader.add(number, format_args!("[{section}]"));
             continue;
         }
         let property = line
@@ -191,15 +219,12 @@
             .filter(|(key, _)| is_key(key));
         match property {
             Some((key, value)) if in_section => {
-                clean.push_str(key);
-                clean.push_str(" = ");
-                clean.push_str(value);
-                clean.push('\n');
-                lines.push(number);
+                reader.add(number, format_args!("{key} = {value}"));
             }
             // Only the header is reported, not each key below it.
             Some(_) if section == "?" => {}
             Some(_) => report(
+                problems,
                 number,
                 "",
                 line,
@@ -207,6 +232,7 @@
                 "move the line into a section",
             ),
             None => report(
+                problems,
                 number,
                 &section,
                 line,
@@ -215,7 +241,6 @@
             ),
         }
     }
-    (clean, lines)
 }
 
 fn is_key(text: &str) -> bool {
--- /dev/null
+++ b/crates/kumquat-state/tests/samples.rs
@@ -0,0 +1,112 @@
+//! Tests of the sample bundles: they guard against samples that no longer fit the parser or the stated sizes.
+
+use kumquat_state::bundle::{Bundle, Kind, check_change, parse, render};
+use kumquat_state::secret::Pepper;
+
+struct Sample {
+    bundle: Bundle,
+    pepper: Pepper,
+    caller_keys: &'static str,
+}
+
+macro_rules! sample {
+    ($deployment:literal) => {
+        Sample {
+            bundle: parse(include_str!(concat!(
+                "../../../samples/",
+                $deployment,
+                "/bundle.ini"
+            )))
+            .unwrap(),
+            pepper: include_str!(concat!("../../../samples/", $deployment, "/pepper.txt"))
+                .parse()
+                .unwrap(),
+            caller_keys: include_str!(concat!(
+                "../../../samples/",
+                $deployment,
+                "/caller-keys.txt"
+            )),
+        }
+    };
+}
+
+/// Returns the kind of each service and the number of its upstreams that take work.
+fn services(bundle: &Bundle) -> Vec<(&str, Kind, usize)> {
+    bundle
+        .services
+        .iter()
+        .map(|service| {
+            let upstreams = bundle
+                .upstreams
+                .iter()
+                .filter(|upstream| upstream.service == service.name && bundle.takes_work(upstream));
+            (service.name.as_str(), service.kind, upstreams.count())
+        })
+        .collect()
+}
+
+/// Returns the different pairs of slots and connections that upstreams have.
+fn shapes(bundle: &Bundle) -> Vec<(u32, u32)> {
+    let mut shapes: Vec<(u32, u32)> = bundle
+        .upstreams
+        .iter()
+        .map(|upstream| (upstream.slots, upstream.connections))
+        .collect();
+    shapes.sort_unstable();
+    shapes.dedup();
+    shapes
+}
+
+fn check(sample: &Sample) {
+    let bundle = &sample.bundle;
+    assert_eq!(bundle.data_centres.len(), 3);
+    assert_eq!(bundle.teams.len(), 8);
+    assert_eq!(parse(&render(bundle)).as_ref(), Ok(bundle));
+    assert_eq!(check_change(&Bundle::default(), bundle), []);
+    assert!(
+        bundle
+            .upstreams
+            .iter()
+            .all(|upstream| upstream.address.ip().is_loopback())
+    );
+    assert_eq!(sample.caller_keys.lines().count(), bundle.caller_keys.len());
+    for line in sample.caller_keys.lines() {
+        let (name, key) = line.split_once(' ').unwrap();
+        let found = sample.pepper.find(bundle, key).unwrap();
+        assert_eq!(found.name.as_str(), name);
+    }
+}
+
+/// Guards against a sample of Port Louis with other sizes than section 1.5 states.
+#[test]
+fn port_louis_has_the_stated_sizes() {
+    let sample = sample!("port-louis");
+    check(&sample);
+    assert_eq!(
+        services(&sample.bundle),
+        [
+            ("bench-scheduling", Kind::Pool, 7),
+            ("payments", Kind::Pool, 6),
+            ("pilot-readiness", Kind::Pool, 6),
+            ("repair-status", Kind::Keyed, 15),
+        ]
+    );
+    assert_eq!(shapes(&sample.bundle), [(2, 100)]);
+}
+
+/// Guards against a sample of Dar es Salaam with other sizes than section 1.5 states.
+#[test]
+fn dar_es_salaam_has_the_stated_sizes() {
+    let sample = sample!("dar-es-salaam");
+    check(&sample);
+    assert_eq!(
+        services(&sample.bundle),
+        [
+            ("catalogue", Kind::Keyed, 13),
+            ("orders", Kind::Pool, 8),
+            ("payments", Kind::Pool, 6),
+            ("shelf-lookups", Kind::Pool, 6),
+        ]
+    );
+    assert_eq!(shapes(&sample.bundle), [(3, 50)]);
+}
