Refuse to change a bundle that trusted signers have not signed

Cause: the commands that change one thing took the store's bundle as it was; an operator would have signed whatever someone else had put there. Change: they verify the accepted envelope against the trust list first, and its version and operation against the head. `check` and `diff` accept envelopes, so that a second signer sees what is to be signed. Conclusion: a signature covers only what its signer saw or verified.

--- a/crates/kumquatctl/src/args.rs
+++ b/crates/kumquatctl/src/args.rs
@@ -30,7 +30,7 @@
 pub enum Command {
     /// Check the text of a bundle and list all of its problems.
     Check {
-        /// Text of the bundle.
+        /// Text of the bundle, or an envelope.
         file: PathBuf,
         /// Also list what an operator would have to confirm if the text replaced this one.
         #[arg(long, value_name = "FILE")]
@@ -38,9 +38,9 @@
     },
     /// Show the differences between two bundles, or between the accepted one and a text.
     Diff {
-        /// Earlier text; if it is the only one, it is compared with the accepted bundle.
+        /// Earlier text or envelope; if it is the only one, the accepted bundle is compared with it.
         file: PathBuf,
-        /// Later text.
+        /// Later text or envelope.
         later: Option<PathBuf>,
     },
     /// Generate a key.
--- a/crates/kumquatctl/src/bundles.rs
+++ b/crates/kumquatctl/src/bundles.rs
@@ -2,7 +2,7 @@
 
 use eyre::{WrapErr as _, eyre};
 use kumquat_state::bundle::submit::HEAD_KEY;
-use kumquat_state::bundle::{Bundle, Envelope};
+use kumquat_state::bundle::{Bundle, Envelope, Trust};
 use kumquat_state::document::{self, Address, Chunk, Head};
 use kumquat_state::ident::Version;
 
@@ -44,10 +44,36 @@
         chunks.push(chunk);
     }
     let bytes = document::join(head, &chunks).map_err(Failure::refused)?;
-    Envelope::decode(&bytes).map_err(Failure::refused)
+    let envelope = Envelope::decode(&bytes).map_err(Failure::refused)?;
+    if envelope.version.0 == head.revision.0 && envelope.operation == head.operation {
+        Ok(envelope)
+    } else {
+        Err(Failure::refused(eyre!(
+            "the store's head of version {} belongs to an envelope of version {}",
+            head.revision,
+            envelope.version
+        )))
+    }
+}
+
+/// Reads the accepted bundle and verifies its signatures; an empty one with version 0 if there is none yet.
+///
+/// Without this, an operator who changes one thing would sign whatever else someone has put into the store.
+pub async fn verified(store: &Store, trust: &Trust) -> Result<Bundle, Failure> {
+    let Some(head) = head(store).await? else {
+        return Ok(Bundle::default());
+    };
+    envelope(store, &head)
+        .await?
+        .open(trust)
+        .wrap_err(
+            "the accepted bundle can't be changed, because it is not signed by the trusted signers; check it with \
+             `kumquatctl history`, and sign and submit a complete text instead",
+        )
+        .map_err(Failure::refused)
 }
 
-/// Reads the accepted bundle; an empty one with version 0 if there is none yet.
+/// Reads the accepted bundle without looking at signatures, for comparisons; an empty one if there is none yet.
 pub async fn accepted(store: &Store) -> Result<Bundle, Failure> {
     let Some(head) = head(store).await? else {
         return Ok(Bundle::default());
--- a/crates/kumquatctl/src/commands/change.rs
+++ b/crates/kumquatctl/src/commands/change.rs
@@ -164,7 +164,7 @@
     edit: &Edit,
     change: &Change,
 ) -> Result<Report, Failure> {
-    let previous = bundles::accepted(store).await?;
+    let previous = bundles::verified(store, settings.trust()?).await?;
     if previous.version.0 == 0 {
         return Err(Failure::refused(eyre!(
             "no bundle has been accepted yet; sign and submit one first"
--- a/crates/kumquatctl/src/files.rs
+++ b/crates/kumquatctl/src/files.rs
@@ -7,7 +7,7 @@
 
 use eyre::{WrapErr as _, eyre};
 use kumquat_state::bundle::envelope::SigningKey;
-use kumquat_state::bundle::{Bundle, Problem, parse};
+use kumquat_state::bundle::{Bundle, Envelope, Problem, parse};
 use kumquat_state::document;
 
 use crate::output::Failure;
@@ -63,9 +63,14 @@
         .collect()
 }
 
-/// Reads a bundle's text; the inner result has the problems of the text.
+/// Reads a bundle's text, or the text in an envelope; the inner result has the problems of the text.
 pub fn read_bundle(path: &Path) -> Result<Result<Bundle, Vec<Problem>>, Failure> {
-    Ok(parse(&text(read(path)?, path)?))
+    let bytes = read(path)?;
+    // Signers look at envelopes that others pass on to them.
+    if let Ok(envelope) = Envelope::decode(&bytes) {
+        return Ok(parse(&envelope.text));
+    }
+    Ok(parse(&text(bytes, path)?))
 }
 
 /// Reads a bundle's text and fails with its first problem.
--- a/crates/kumquatctl/tests/operator.rs
+++ b/crates/kumquatctl/tests/operator.rs
@@ -270,12 +270,40 @@
     );
 }
 
+/// Guards against an operator who signs a stranger's bundle along with a change of one thing.
+#[test]
+fn an_untrusted_bundle_is_not_built_upon() {
+    let desk = Desk::with_bundle("untrusted");
+    let output = desk.run(&["keygen", "signer", "chitra", "--out", "chitra"]);
+    assert_eq!(status(&output), 0, "{}", shown(&output));
+    let trusting = format!(
+        "[store]\nurl = {}\n[trust]\nthreshold = 1\nsigners = chitra.pub\n",
+        desk.store.url
+    );
+    desk.write("stranger.ini", &trusting);
+    desk.write("two.ini", &TEXT.replace("version = 3", "version = 2"));
+    desk.sign("two.ini", "chitra", "two.kqe");
+    let output = desk.run_bare(&["--settings", "stranger.ini", "submit", "two.kqe"]);
+    assert_eq!(status(&output), 0, "{}", shown(&output));
+
+    let output = desk.change(&["data-centre", "back", "b"]);
+
+    assert_eq!(status(&output), 1);
+    assert!(
+        shown(&output).contains("not signed by the trusted signers"),
+        "{}",
+        shown(&output)
+    );
+}
+
 /// Guards against a second signer who can't add a signature, and against a caller key that the bundle does not know.
 #[test]
 fn envelopes_are_passed_on_and_caller_keys_are_printed() {
     let desk = Desk::with_bundle("pass-on");
     let output = desk.change(&["data-centre", "back", "b", "--out", "two.kqe"]);
     assert_eq!(status(&output), 0, "{}", shown(&output));
+    let diff = shown(&desk.run(&["diff", "two.kqe"]));
+    assert!(diff.contains("~ data-centre b: state out -> in"), "{diff}");
     desk.sign("two.kqe", "bruno", "two-both.kqe");
     let output = desk.run(&["submit", "two-both.kqe"]);
     assert_eq!(status(&output), 0, "{}", shown(&output));
