Read a bundle's sections from their places in the text

Cause: reading a bundle at the caller key limit took a peak of 663 MB, because all sections were held as strings before any was read; a node has 256 MB for control. Change: the scan keeps only the places of sections; each is read, checked and dropped, and read again only for a problem between sections.

--- a/crates/kumquat-state/src/bundle/text.rs
+++ b/crates/kumquat-state/src/bundle/text.rs
@@ -16,6 +16,7 @@
 use crate::bundle::Bundle;
 use crate::document;
 use problem::Problems;
+use scan::Outline;
 
 /// Most teams in a bundle.
 pub const TEAM_LIMIT: usize = 65_536;
@@ -56,9 +57,9 @@
         return Err(problems.into_sorted());
     }
 
-    let sections = scan::scan(text, &mut problems);
-    let draft = read::read(&sections, &mut problems);
-    check::check(&draft, &sections, &mut problems);
+    let outline = Outline::new(text, &mut problems);
+    let draft = read::read(&outline, &mut problems);
+    check::check(&draft, &outline, &mut problems);
     if problems.is_empty() {
         Ok(draft.into_bundle())
     } else {
--- a/crates/kumquat-state/src/bundle/text/check.rs
+++ b/crates/kumquat-state/src/bundle/text/check.rs
@@ -2,7 +2,7 @@
 
 use super::problem::{Problem, Problems};
 use super::read::{Draft, Placed};
-use super::scan::Section;
+use super::scan::{Outline, Span};
 use super::{
     CALLER_KEY_LIMIT, DATA_CENTRE_LIMIT, PLACEMENT_LIMIT, ROUTE_LIMIT, SERVICE_LIMIT, TEAM_LIMIT,
     UPSTREAM_LIMIT,
@@ -11,8 +11,8 @@
 use crate::ident;
 
 /// Reports duplicates, exceeded limits and contradictions between sections.
-pub(super) fn check(draft: &Draft, sections: &[Section], problems: &mut Problems) {
-    if !sections.iter().any(|section| section.header == "bundle") {
+pub(super) fn check(draft: &Draft, outline: &Outline<'_>, problems: &mut Problems) {
+    if !outline.spans.iter().any(|span| span.header == "bundle") {
         problems.push(Problem {
             section: "bundle".to_owned(),
             ..Problem::of_file(
@@ -21,10 +21,10 @@
             )
         });
     }
-    check_headers(sections, problems);
-    check_limits(sections, problems);
+    check_headers(outline, problems);
+    check_limits(outline, problems);
     check_unique(
-        sections,
+        outline,
         "digest",
         draft
             .caller_keys
@@ -34,7 +34,7 @@
     );
     // Two upstreams at one address would receive the load of both.
     check_unique(
-        sections,
+        outline,
         "address",
         draft
             .upstreams
@@ -44,12 +44,12 @@
     );
     let mut services: Vec<&Service> = draft.services.iter().map(|placed| &placed.value).collect();
     services.sort_by(|a, b| a.name.cmp(&b.name));
-    check_upstreams(draft, &services, sections, problems);
-    check_placements(draft, &services, sections, problems);
+    check_upstreams(draft, &services, outline, problems);
+    check_placements(draft, &services, outline, problems);
 }
 
-fn check_headers(sections: &[Section], problems: &mut Problems) {
-    let mut sorted: Vec<&Section> = sections.iter().collect();
+fn check_headers(outline: &Outline<'_>, problems: &mut Problems) {
+    let mut sorted: Vec<&Span<'_>> = outline.spans.iter().collect();
     sorted.sort_by(|a, b| (&a.header, a.line).cmp(&(&b.header, b.line)));
     for pair in sorted.windows(2) {
         if pair[0].header == pair[1].header {
@@ -61,7 +61,7 @@
     }
 }
 
-fn check_limits(sections: &[Section], problems: &mut Problems) {
+fn check_limits(outline: &Outline<'_>, problems: &mut Problems) {
     let limits = [
         ("team", TEAM_LIMIT),
         ("caller-key", CALLER_KEY_LIMIT),
@@ -72,9 +72,10 @@
         ("placement", PLACEMENT_LIMIT),
     ];
     for (kind, limit) in limits {
-        let count = sections
+        let count = outline
+            .spans
             .iter()
-            .filter(|section| section.kind() == kind)
+            .filter(|span| span.kind() == kind)
             .count();
         if count > limit {
             problems.push(Problem {
@@ -90,7 +91,7 @@
 }
 
 fn check_unique<T: Ord>(
-    sections: &[Section],
+    outline: &Outline<'_>,
     key: &str,
     values: impl Iterator<Item = (T, usize)>,
     problems: &mut Problems,
@@ -99,15 +100,16 @@
     sorted.sort();
     for pair in sorted.windows(2) {
         if pair[0].0 == pair[1].0 {
-            let first = &sections[pair[0].1];
-            problems.push(sections[pair[1].1].value_problem(
+            let first = &outline.spans[pair[0].1];
+            let problem = outline.section(pair[1].1, problems).value_problem(
                 key,
                 "a value that no other section has",
                 format!(
                     "section [{}] in line {} has it too",
                     first.header, first.line
                 ),
-            ));
+            );
+            problems.push(problem);
         }
     }
 }
@@ -122,7 +124,7 @@
 fn check_upstreams(
     draft: &Draft,
     services: &[&Service],
-    sections: &[Section],
+    outline: &Outline<'_>,
     problems: &mut Problems,
 ) {
     for Placed { section, value } in &draft.upstreams {
@@ -130,11 +132,12 @@
             continue;
         };
         if !service.data_centres.contains(&value.data_centre) {
-            problems.push(sections[*section].value_problem(
+            let problem = outline.section(*section, problems).value_problem(
                 "data-centre",
                 format!("a data centre that [service {}] lists", service.name),
                 "add it to the service's data-centres, or correct the upstream",
-            ));
+            );
+            problems.push(problem);
         }
     }
 }
@@ -142,15 +145,14 @@
 fn check_placements(
     draft: &Draft,
     services: &[&Service],
-    sections: &[Section],
+    outline: &Outline<'_>,
     problems: &mut Problems,
 ) {
     let mut upstreams: Vec<_> = draft.upstreams.iter().map(|placed| &placed.value).collect();
     upstreams.sort_by(|a, b| a.name.cmp(&b.name));
     for Placed { section, value } in &draft.placements {
-        let section = &sections[*section];
         if find(services, &value.service).is_some_and(|service| service.kind == Kind::Pool) {
-            problems.push(section.problem(
+            problems.push(outline.spans[*section].problem(
                 "a keyed service",
                 "remove the placement; any upstream of a pool service can answer",
             ));
@@ -159,11 +161,12 @@
             .binary_search_by(|upstream| upstream.name.cmp(&value.upstream))
             .map(|index| upstreams[index]);
         if upstream.is_ok_and(|upstream| upstream.service != value.service) {
-            problems.push(section.value_problem(
+            let problem = outline.section(*section, problems).value_problem(
                 "upstream",
                 format!("an upstream of {}", value.service),
                 "choose an upstream of the placement's service",
-            ));
+            );
+            problems.push(problem);
         }
     }
 }
--- a/crates/kumquat-state/src/bundle/text/read.rs
+++ b/crates/kumquat-state/src/bundle/text/read.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::problem::{Problem, Problems};
-use super::scan::Section;
+use super::scan::{Outline, Section};
 use crate::bundle::{
     Access, Bundle, CallerKey, Class, DataCentre, Digest, Kind, Placement, Route, Service, State,
     Team, Upstream,
@@ -97,31 +97,29 @@
 }
 
 /// Reads all sections; a section with a problem yields no value.
-pub(super) fn read(sections: &[Section], problems: &mut Problems) -> Draft {
-    let mut headers: Vec<&str> = sections
-        .iter()
-        .map(|section| section.header.as_str())
-        .collect();
+pub(super) fn read(outline: &Outline<'_>, problems: &mut Problems) -> Draft {
+    let mut headers: Vec<&str> = outline.spans.iter().map(|span| &*span.header).collect();
     headers.sort_unstable();
     let mut draft = Draft::default();
-    for (index, section) in sections.iter().enumerate() {
-        let Some((kind, words)) = KINDS.iter().find(|(kind, _)| *kind == section.kind()) else {
+    for (index, span) in outline.spans.iter().enumerate() {
+        let Some((kind, words)) = KINDS.iter().find(|(kind, _)| *kind == span.kind()) else {
             let kinds = KINDS.map(|(kind, _)| kind).join(", ");
-            problems.push(section.problem(
+            problems.push(span.problem(
                 format!("a section that starts with one of: {kinds}"),
                 "correct the header or remove the section",
             ));
             continue;
         };
-        if section.arguments().count() != *words {
-            problems.push(section.problem(
+        if span.arguments().count() != *words {
+            problems.push(span.problem(
                 format!("{words} words after {kind:?}"),
                 "correct the header; names have no spaces",
             ));
             continue;
         }
+        let section = outline.section(index, problems);
         let mut reader = Reader {
-            section,
+            section: &section,
             headers: &headers,
             problems: &mut *problems,
         };
@@ -153,7 +151,7 @@
 ///
 /// Each method reads all of its keys before it gives up, so that all problems are found in one pass.
 struct Reader<'a> {
-    section: &'a Section,
+    section: &'a Section<'a>,
     /// Headers of all sections, sorted; references point to these.
     headers: &'a [&'a str],
     problems: &'a mut Problems,
@@ -264,7 +262,7 @@
         let prefix = self.argument(0).to_owned();
         let valid = is_prefix(&prefix);
         if !valid {
-            self.problems.push(self.section.problem(
+            self.problems.push(self.section.span.problem(
                 format!(
                     "a path prefix of at most {PREFIX_LIMIT} characters that starts with '/', without empty, '.' or \
                      '..' segments, of letters, digits and \"-._~/\""
@@ -363,14 +361,14 @@
         if let Some(service) = &service
             && !self.is_declared("service", service.as_str())
         {
-            self.problems.push(self.section.problem(
+            self.problems.push(self.section.span.problem(
                 format!("a service that has a section [service {service}]"),
                 "correct the name or add the section",
             ));
         }
         let key = codec::from_hex(self.argument(1)).map(u64::from_be_bytes);
         if key.is_none() {
-            self.problems.push(self.section.problem(
+            self.problems.push(self.section.span.problem(
                 "the hash of the key as 16 lower-case hexadecimal digits",
                 "take the section that `kumquatctl place` writes",
             ));
@@ -392,7 +390,7 @@
                 line: Some(property.line),
                 key: Some(property.key.clone()),
                 value: Some(property.value.clone()),
-                ..self.section.problem("", "")
+                ..self.section.span.problem("", "")
             };
             if !known.contains(&key) {
                 self.problems.push(Problem {
@@ -413,7 +411,7 @@
     }
 
     fn argument(&self, index: usize) -> &'a str {
-        self.section.arguments().nth(index).unwrap_or_default()
+        self.section.span.arguments().nth(index).unwrap_or_default()
     }
 
     fn find(&self, key: &str) -> Option<&'a str> {
@@ -442,6 +440,7 @@
             .map_err(|error: ident::NameError| {
                 self.problems.push(
                     self.section
+                        .span
                         .problem("a valid name in the header", error.to_string()),
                 );
             })
--- a/crates/kumquat-state/src/bundle/text/scan.rs
+++ b/crates/kumquat-state/src/bundle/text/scan.rs
@@ -1,8 +1,10 @@
-//! The `scan` module splits the text into sections whose lines are known.
+//! The `scan` module finds the sections of a text and reads them one at a time.
 //!
 //! The INI parser stops at its first error, accepts a key that spans lines, and does not report lines. Therefore each
-//! line is checked first, faulty lines are reported and left out, and the parser reads only what is well-formed.
+//! line is checked first, faulty lines are reported and left out, and the parser reads only what is well-formed. It
+//! takes about ten times the memory of its text, so it is given one section at a time.
 
+use std::borrow::Cow;
 use std::fmt::Write as _;
 
 use ini::{Ini, ParseOption};
@@ -12,13 +14,32 @@
 /// Longest line, in bytes; a service that lists 256 data centres takes 11 KB.
 const LINE_LIMIT: usize = 16 * 1024;
 
-/// A section of the text.
+/// The sections of a text, by their places.
 #[derive(Debug)]
-pub(super) struct Section {
+pub(super) struct Outline<'t> {
+    text: &'t str,
+    /// Sections in the order of the text.
+    pub(super) spans: Vec<Span<'t>>,
+}
+
+/// Place of a section in the text.
+#[derive(Debug)]
+pub(super) struct Span<'t> {
     /// Line of the header.
     pub(super) line: usize,
     /// Header without brackets, words separated by single spaces.
-    pub(super) header: String,
+    pub(super) header: Cow<'t, str>,
+    /// Where the lines below the header start.
+    start: usize,
+    /// Where they end.
+    end: usize,
+}
+
+/// A section with its content.
+#[derive(Debug)]
+pub(super) struct Section<'o> {
+    /// Place and header.
+    pub(super) span: &'o Span<'o>,
     /// Keys and values in the order of the text.
     pub(super) properties: Vec<Property>,
 }
@@ -34,7 +55,7 @@
     pub(super) value: String,
 }
 
-impl Section {
+impl Span<'_> {
     /// Returns the first word of the header, which says what the section describes.
     pub(super) fn kind(&self) -> &str {
         self.header.split(' ').next().unwrap_or_default()
@@ -53,11 +74,13 @@
     ) -> Problem {
         Problem {
             line: Some(self.line),
-            section: self.header.clone(),
+            section: self.header.clone().into_owned(),
             ..Problem::of_file(expectation, remedy)
         }
     }
+}
 
+impl Section<'_> {
     /// Creates a problem of the value of `key`.
     pub(super) fn value_problem(
         &self,
@@ -67,179 +90,182 @@
     ) -> Problem {
         let property = self.properties.iter().find(|property| property.key == key);
         Problem {
-            line: Some(property.map_or(self.line, |property| property.line)),
+            line: Some(property.map_or(self.span.line, |property| property.line)),
             key: Some(key.to_owned()),
             value: property.map(|property| property.value.clone()),
-            ..self.problem(expectation, remedy)
+            ..self.span.problem(expectation, remedy)
         }
     }
 }
 
-/// Splits a text into sections and reports every line that can't be read.
-pub(super) fn scan(text: &str, problems: &mut Problems) -> Vec<Section> {
-    let mut reader = Reader::default();
-    clean(text, &mut reader, problems);
-    reader.flush(problems);
-    reader.sections
-}
-
-/// Reads one section at a time, because the parser takes about ten times the memory of the text.
-#[derive(Debug, Default)]
-struct Reader {
-    /// Well-formed lines of the present section.
-    text: String,
-    /// Numbers of these lines.
-    lines: Vec<usize>,
-    sections: Vec<Section>,
-}
-
-impl Reader {
-    fn add(&mut self, number: usize, line: std::fmt::Arguments<'_>) {
-        // Writing to a string can't fail.
-        _ = writeln!(self.text, "{line}");
-        self.lines.push(number);
+impl<'t> Outline<'t> {
+    /// Finds the sections of a text and reports every line that can't be read.
+    pub(super) fn new(text: &'t str, problems: &mut Problems) -> Self {
+        let mut spans: Vec<Span<'t>> = Vec::new();
+        let mut place = Place::Start;
+        let mut offset = 0;
+        for (index, raw) in text.split('\n').enumerate() {
+            let line = index + 1;
+            let start = offset;
+            offset = (start + raw.len() + 1).min(text.len());
+            let faulty = match classify(raw) {
+                Line::Blank => continue,
+                Line::Header(header) => {
+                    place = Place::Section;
+                    spans.push(Span {
+                        line,
+                        header,
+                        start: offset,
+                        end: offset,
+                    });
+                    continue;
+                }
+                Line::Property(..) => match place {
+                    Place::Section => None,
+                    // Only the header is reported, not each key below it.
+                    Place::Unknown => continue,
+                    Place::Start => Some(Fault {
+                        expectation: "a section header before the first key",
+                        remedy: "move the line into a section",
+                    }),
+                },
+                Line::FaultyHeader(fault) => {
+                    place = Place::Unknown;
+                    Some(fault)
+                }
+                Line::Faulty(fault) => Some(fault),
+            };
+            let section = spans.last_mut().filter(|_| place == Place::Section);
+            if let Some(fault) = faulty {
+                problems.push(Problem {
+                    line: Some(line),
+                    section: section
+                        .as_ref()
+                        .map_or_else(String::new, |span| span.header.clone().into_owned()),
+                    value: Some(raw.trim().to_owned()),
+                    ..Problem::of_file(fault.expectation, fault.remedy)
+                });
+            }
+            if let Some(section) = section {
+                section.end = offset;
+            }
+        }
+        Self { text, spans }
     }
 
-    /// Reads the lines of the present section.
-    fn flush(&mut self, problems: &mut Problems) {
+    /// Reads the content of a section; faulty lines, which were reported before, are left out.
+    pub(super) fn section(&self, index: usize, problems: &mut Problems) -> Section<'_> {
+        let span = &self.spans[index];
+        let mut clean = String::new();
+        let mut lines = Vec::new();
+        for (index, raw) in self.text[span.start..span.end].split('\n').enumerate() {
+            if let Line::Property(key, value) = classify(raw) {
+                // Writing to a string can't fail.
+                _ = writeln!(clean, "{key} = {value}");
+                lines.push(span.line + 1 + index);
+            }
+        }
         let options = ParseOption {
             enabled_quote: false,
             enabled_escape: false,
             ..ParseOption::default()
         };
-        // The parser keeps the order of the text, so that the lines can be assigned in the same order.
-        let mut lines = self.lines.drain(..);
-        let mut next_line = || lines.next().unwrap_or_default();
-        match Ini::load_from_str_opt(&self.text, options) {
-            Ok(parsed) => {
-                for (header, properties) in parsed {
-                    let Some(header) = header else { continue };
-                    self.sections.push(Section {
-                        line: next_line(),
-                        header,
-                        properties: properties
-                            .into_iter()
-                            .map(|(key, value)| Property {
-                                line: next_line(),
-                                key,
-                                value,
-                            })
-                            .collect(),
-                    });
-                }
-            }
-            Err(error) => problems.push(Problem {
-                line: Some(next_line()),
-                ..Problem::of_file(
-                    "INI sections and keys",
+        let properties = match Ini::load_from_str_opt(&clean, options) {
+            // The parser keeps the order of the text, so that the lines can be assigned in the same order.
+            Ok(parsed) => parsed
+                .into_iter()
+                .flat_map(|(_, properties)| properties)
+                .zip(lines)
+                .map(|((key, value), line)| Property { line, key, value })
+                .collect(),
+            Err(error) => {
+                problems.push(span.problem(
+                    "INI keys and values",
                     format!("correct the section: {}", error.msg),
-                )
-            }),
-        }
-        self.text.clear();
+                ));
+                Vec::new()
+            }
+        };
+        Section { span, properties }
     }
 }
 
-/// Passes the well-formed lines of the text to the reader and reports the others.
-fn clean(text: &str, reader: &mut Reader, problems: &mut Problems) {
-    let mut in_section = false;
-    let report = |problems: &mut Problems,
-                  line,
-                  section: &str,
-                  value: &str,
-                  expectation: &str,
-                  remedy: &str| {
-        problems.push(Problem {
-            line: Some(line),
-            section: section.to_owned(),
-            value: Some(value.to_owned()),
-            ..Problem::of_file(expectation, remedy)
+/// Where in the text a line stands.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Place {
+    /// Before the first header.
+    Start,
+    /// Below a header.
+    Section,
+    /// Below a faulty header.
+    Unknown,
+}
+
+/// What a line is.
+enum Line<'t> {
+    /// Empty or a comment.
+    Blank,
+    /// Header of a section.
+    Header(Cow<'t, str>),
+    /// Key and value.
+    Property(&'t str, &'t str),
+    /// Header that can't be read.
+    FaultyHeader(Fault),
+    /// Other line that can't be read.
+    Faulty(Fault),
+}
+
+/// What is wrong with a line.
+struct Fault {
+    expectation: &'static str,
+    remedy: &'static str,
+}
+
+fn classify(raw: &str) -> Line<'_> {
+    let line = raw.trim();
+    if line.is_empty() || line.starts_with(['#', ';']) {
+        return Line::Blank;
+    }
+    // Checks of lists within a line may take quadratic time.
+    if line.len() > LINE_LIMIT {
+        return Line::Faulty(Fault {
+            expectation: "a line of at most 16 KB",
+            remedy: "shorten the line",
         });
-    };
-
-    let mut section = String::new();
-    for (index, raw) in text.split('\n').enumerate() {
-        let number = index + 1;
-        let line = raw.trim();
-        if line.is_empty() || line.starts_with(['#', ';']) {
-            continue;
-        }
-        // Checks of lists within a line may take quadratic time.
-        if line.len() > LINE_LIMIT {
-            report(
-                problems,
-                number,
-                &section,
-                line,
-                "a line of at most 16 KB",
-                "shorten the line",
-            );
-            continue;
-        }
-        // A backslash would join lines, and control characters would hide what an operator signs.
-        if line.chars().any(|char| char.is_control() || char == '\\') {
-            report(
-                problems,
-                number,
-                &section,
-                line,
-                "a line without backslashes and control characters",
-                "remove these characters",
-            );
-            continue;
-        }
-        if let Some(header) = line.strip_prefix('[') {
-            let header = header
-                .strip_suffix(']')
-                .filter(|rest| !rest.contains([']', '[']));
-            let Some(header) = header else {
-                report(
-                    problems,
-                    number,
-                    "",
-                    line,
-                    "a section header such as [team pilots]",
-                    "write the header in one pair of brackets",
-                );
-                // The keys that follow belong to a section that is not known.
-                in_section = false;
-                section.clear();
-                section.push('?');
-                continue;
-            };
-            section = header.split_whitespace().collect::<Vec<_>>().join(" ");
-            in_section = true;
-            reader.flush(problems);
-            reader.add(number, format_args!("[{section}]"));
-            continue;
-        }
-        let property = line
-            .split_once('=')
-            .map(|(key, value)| (key.trim(), value.trim()))
-            .filter(|(key, _)| is_key(key));
-        match property {
-            Some((key, value)) if in_section => {
-                reader.add(number, format_args!("{key} = {value}"));
-            }
-            // Only the header is reported, not each key below it.
-            Some(_) if section == "?" => {}
-            Some(_) => report(
-                problems,
-                number,
-                "",
-                line,
-                "a section header before the first key",
-                "move the line into a section",
-            ),
-            None => report(
-                problems,
-                number,
-                &section,
-                line,
-                "a line of the form key = value, with a key of a-z and '-'",
-                "correct the line, or start it with '#' if it is a comment",
-            ),
-        }
+    }
+    // A backslash would join lines, and control characters would hide what an operator signs.
+    if line.chars().any(|char| char.is_control() || char == '\\') {
+        return Line::Faulty(Fault {
+            expectation: "a line without backslashes and control characters",
+            remedy: "remove these characters",
+        });
+    }
+    if let Some(rest) = line.strip_prefix('[') {
+        return match rest.strip_suffix(']') {
+            Some(header) if !header.contains(['[', ']']) => Line::Header(normalise(header)),
+            _ => Line::FaultyHeader(Fault {
+                expectation: "a section header such as [team pilots]",
+                remedy: "write the header in one pair of brackets",
+            }),
+        };
+    }
+    match line.split_once('=') {
+        Some((key, value)) if is_key(key.trim()) => Line::Property(key.trim(), value.trim()),
+        _ => Line::Faulty(Fault {
+            expectation: "a line of the form key = value, with a key of a-z and '-'",
+            remedy: "correct the line, or start it with '#' if it is a comment",
+        }),
+    }
+}
+
+/// Separates the words of a header by single spaces.
+fn normalise(header: &str) -> Cow<'_, str> {
+    let words = header.split_whitespace();
+    // Most headers are in this form already and need no memory of their own.
+    if words.clone().eq(header.split(' ')) {
+        Cow::Borrowed(header)
+    } else {
+        Cow::Owned(words.collect::<Vec<_>>().join(" "))
     }
 }
 
--- a/crates/kumquat-state/tests/bundle_text.rs
+++ b/crates/kumquat-state/tests/bundle_text.rs
@@ -124,6 +124,10 @@
     for (from, to, key) in cases {
         assert_eq!(only_problem(from, to).key.as_deref(), Some(key), "{to:?}");
     }
+    // Problems between sections name the line of the value as well.
+    let line = TEXT.lines().position(|line| line.ends_with(":9002"));
+    let problem = only_problem("127.0.0.1:9002", "127.0.0.1:9001");
+    assert_eq!(problem.line, line.map(|index| index + 1));
     let headers = [
         (
             "[team pilots]",
