Test single-key grants and stale renewals of the upstream stand-in

Cause: a trial with 24 deliberate faults in the stand-ins and the clients showed two that no test noticed: a renewal that takes effect after its slots were released, and a caller that sets a header of the router. Change: the release test lets the next owner run the key, the header test uses a header that the call leaves unset, and single-key grants have a test.

--- a/crates/kumquat-transport/tests/upstream.rs
+++ b/crates/kumquat-transport/tests/upstream.rs
@@ -5,11 +5,11 @@
 
 use bytes::Bytes;
 use futures_util::stream;
-use kumquat_standins::observation::Ledger;
+use kumquat_standins::observation::{Area, Ledger, Run};
 use kumquat_standins::upstream::{self, Upstream};
-use kumquat_state::ident;
+use kumquat_state::{clock, ident};
 use kumquat_transport::upstream::{
-    Body, Call, Client, Failure, Grant, GrantError, Granted, Options, Span,
+    Body, Call, Client, Failure, Grant, GrantError, Granted, Key, Options, Span,
 };
 use reqwest::{Method, StatusCode};
 use tokio::sync::mpsc;
@@ -86,10 +86,11 @@
 async fn callers_cannot_set_the_headers_of_the_router() {
     let (upstream, client, _) = upstream(upstream::Options::default()).await;
     let mut call = get("/stock/7", AMPLE);
-    call.headers
-        .insert("kumquat-team", "other".parse().expect("value"));
+    for name in ["kumquat-team", "kumquat-key"] {
+        let value = "00000000000000ab".parse().expect("value");
+        call.headers.insert(name, value);
+    }
     call.team = Some("island-air".parse().expect("name"));
-    call.key = Some(0xab);
     call.attempt = 2;
 
     let answer = client.send(call).await.expect("answer");
@@ -99,7 +100,7 @@
     let body = serde_json::from_slice::<serde_json::Value>(&body).expect("JSON");
     assert_eq!(body["request"], format!("{:032x}", 7));
     assert_eq!(body["team"], "island-air");
-    assert_eq!(body["key"], "00000000000000ab");
+    assert_eq!(body["key"], serde_json::Value::Null);
     assert_eq!(body["attempt"], 2);
     assert_eq!(body["path"], "/stock/7");
     upstream.stop().await;
@@ -288,6 +289,39 @@
     upstream.stop().await;
 }
 
+/// Guards against hot keys that run at the owner of their slot, or at an owner that has given them up.
+#[tokio::test]
+async fn single_keys_are_granted_and_left_out() {
+    let (upstream, client, _) = upstream(keyed()).await;
+    let known = learn(&client).await;
+    let key = |hash| vec![Key::new(hash, ident::Epoch(2))];
+    let placed = Grant {
+        keys: key(u64::MAX),
+        without: Some(key(0)),
+        ..lower_half(&known)
+    };
+    let given_up = Grant {
+        release_keys: key(u64::MAX),
+        ..lower_half(&known)
+    };
+    let run = async |hash: u64| {
+        let call = Call {
+            key: Some(hash),
+            fence: ident::Fence(256),
+            ..get("/", AMPLE)
+        };
+        client.send(call).await.is_ok()
+    };
+
+    client.grant(&placed, AMPLE).await.expect("held");
+    let while_placed = [run(0).await, run(1).await, run(u64::MAX).await];
+    client.grant(&given_up, AMPLE).await.expect("released");
+
+    assert_eq!(while_placed, [false, true, true]);
+    assert!(!run(u64::MAX).await);
+    upstream.stop().await;
+}
+
 /// Guards against a grant that is delivered late and still takes effect.
 #[tokio::test]
 async fn an_expired_grant_has_no_effect() {
@@ -350,6 +384,17 @@
 
     assert_eq!(released.held, []);
     assert_eq!(renewed.held, []);
+    // The next owner may run the key, since the renewal after the release has no effect.
+    let next_owner = Run {
+        service: "service".to_owned(),
+        upstream: "next".to_owned(),
+        request: 8,
+        team: String::new(),
+        idempotent: false,
+        key: Some((0, 0)),
+        grant: Some((Area::Slot(0), 2)),
+    };
+    ledger.started(&next_owner, clock::now());
     assert!(ledger.report().is_clean(), "{:?}", ledger.report());
     upstream.stop().await;
 }
