Let store writes take effect after their caller has given up

Cause: the stand-in dropped a delayed write when its caller hung up, so a write could not take effect after the caller had timed out, which is the harder case of a lost answer. Change: writes run in a task of their own; reads and watches still end with their connection. Conclusion: late effects are part of what the coordinator is tested with.

--- a/crates/kumquat-standins/src/store.rs
+++ b/crates/kumquat-standins/src/store.rs
@@ -83,7 +83,17 @@
         Box::new(move |request| -> Answer {
             let core = Arc::clone(&serving);
             let gate = gate.clone();
-            Box::pin(async move { core.answer(request, &gate).await })
+            let is_read = request.method() == Method::GET;
+            let answer = async move { core.answer(request, &gate).await };
+            if is_read {
+                return Box::pin(answer);
+            }
+            // A write takes effect even if its caller has hung up meanwhile, since a real store would not notice.
+            let write = tokio::spawn(answer);
+            Box::pin(async {
+                let failed = |_panic| status(StatusCode::INTERNAL_SERVER_ERROR);
+                write.await.unwrap_or_else(failed)
+            })
         })
     })
     .await?;
@@ -198,7 +208,6 @@
         let lost = response.status().is_success() && lock(&self.state).lose_answer() == Lost::Yes;
         if lost && let Some(caller) = caller {
             gate.cut(caller);
-            std::future::pending::<()>().await;
         }
         response
     }
--- a/crates/kumquat-transport/tests/store.rs
+++ b/crates/kumquat-transport/tests/store.rs
@@ -180,6 +180,30 @@
     store.stop().await;
 }
 
+/// Guards against a store that forgets the write of a caller that gives up, so that late effects would go untested.
+#[tokio::test]
+async fn a_write_takes_effect_after_its_caller_has_given_up() {
+    let (store, client) = store(store::Options::default()).await;
+    store.set_faults(|faults| faults.delay = Duration::from_millis(50));
+    let write = tokio::spawn({
+        let client = client.clone();
+        async move { put(&client, "k", "late", 0).await }
+    });
+    while store.calls().writes == 0 {
+        tokio::task::yield_now().await;
+    }
+
+    write.abort();
+
+    let effect = async {
+        while store.peek("k").is_none() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    tokio::time::timeout(AMPLE, effect).await.expect("effect");
+    store.stop().await;
+}
+
 /// Guards against two holders of one lease and against an epoch that does not grow.
 #[tokio::test]
 async fn lease_epochs_only_grow() {
