Add the planner of ledger changes

Cause: memberships, holder lists and slot tables have to follow VMs, upstreams and the bundle without ever creating two owners. Change: coordinator::Coordinator::plan returns one write with its audit changes, or one release to ask for. A fenced incarnation leaves membership and holder lists in one write.

--- /dev/null
+++ b/crates/kumquat-coordination/src/coordinator/members.rs
@@ -0,0 +1,108 @@
+//! Membership of the cell: one VM at a time.
+
+use kumquat_state::ident::{Version, Vm};
+use kumquat_state::ledger::{Holder, Member, Membership};
+
+use super::{Cause, Draft, Subject, View};
+
+/// Fewest members of a cell: fewer could not lose one and keep a majority.
+const MEMBERS_MIN: usize = 3;
+
+/// Most members of a cell; each member sends heartbeats to all others.
+const MEMBERS_MAX: usize = 15;
+
+/// Changes the membership by at most one VM.
+pub(super) fn plan(draft: &mut Draft<'_>) {
+    if draft.view.ledger.membership.members.is_empty() {
+        form(draft);
+        return;
+    }
+    let view = draft.view;
+    let members = &view.ledger.membership.members;
+    for member in members.iter().filter(|member| is_fenced(view, member)) {
+        let successor = view
+            .live
+            .iter()
+            .find(|live| live.vm == member.vm && live.incarnation > member.incarnation);
+        if successor.is_none() && members.len() <= MEMBERS_MIN {
+            continue;
+        }
+        let cause = if successor.is_some() {
+            Cause::Replaced
+        } else {
+            Cause::Fenced
+        };
+        if change(draft, &member.vm, successor, cause) {
+            return;
+        }
+    }
+    if members.len() >= MEMBERS_MAX {
+        return;
+    }
+    for live in view.live {
+        let is_new = view.ledger.membership.member(&live.vm).is_none();
+        if is_new
+            && !view.leaving.contains(&live.vm)
+            && !is_fenced(view, live)
+            && change(draft, &live.vm, Some(live), Cause::Joined)
+        {
+            return;
+        }
+    }
+}
+
+/// Forms the cell of all live VMs; nobody holds anything yet.
+fn form(draft: &mut Draft<'_>) {
+    let mut members: Vec<Member> = draft.view.live.to_vec();
+    members.sort_by(|a, b| (&a.vm, b.incarnation).cmp(&(&b.vm, a.incarnation)));
+    members.dedup_by(|later, earlier| later.vm == earlier.vm);
+    members.truncate(MEMBERS_MAX);
+    if members.len() < MEMBERS_MIN {
+        return;
+    }
+    let version = draft.view.ledger.membership.version;
+    for member in &members {
+        let subject = Subject::Member {
+            vm: member.vm.clone(),
+            from: None,
+            to: Some(member.incarnation),
+        };
+        draft.note(subject, Cause::Formed);
+    }
+    draft.ledger.membership = Membership {
+        version: Version(version.0 + 1),
+        members,
+    };
+}
+
+/// Puts `to` in the place of the member with this name, if the membership may change that way at present.
+///
+/// The fenced incarnation leaves all holder lists in the same write, see [`super::holders::repair`].
+fn change(draft: &mut Draft<'_>, vm: &Vm, to: Option<&Member>, cause: Cause) -> bool {
+    let mut candidate = draft.view.ledger.membership.clone();
+    let from = candidate.member(vm).map(|member| member.incarnation);
+    candidate.version = Version(candidate.version.0 + 1);
+    candidate.members.retain(|member| member.vm != *vm);
+    if let Some(to) = to {
+        let index = candidate.members.partition_point(|member| member.vm < *vm);
+        candidate.members.insert(index, to.clone());
+    }
+    if !(draft.view.may_change)(&candidate) {
+        return false;
+    }
+    draft.ledger.membership = candidate;
+    let subject = Subject::Member {
+        vm: vm.clone(),
+        from,
+        to: to.map(|member| member.incarnation),
+    };
+    draft.note(subject, cause);
+    true
+}
+
+fn is_fenced(view: &View<'_>, member: &Member) -> bool {
+    (view.is_fenced)(&Holder {
+        vm: member.vm.clone(),
+        incarnation: member.incarnation,
+    })
+}
--- a/crates/kumquat-coordination/src/lib.rs
+++ b/crates/kumquat-coordination/src/lib.rs
@@ -1,4 +1,5 @@
 //! Pure coordination state machines of kumquatpond: membership, ownership, limits and dispatch.
 
+pub mod coordinator;
 pub mod grant;
 pub mod limit;
