--- a/crates/kumquat-coordination/src/coordinator/balance.rs
+++ b/crates/kumquat-coordination/src/coordinator/balance.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeSet;
 
 /// Highest load relative to the fair share that is left alone, in thousandths; the aim for maximum over mean is 1,150.
-const HIGH: u128 = 1_120;
+const HIGH: u128 = 1_100;
 
 /// Lowest load relative to the fair share that is left alone, in thousandths.
 const LOW: u128 = 850;
--- a/crates/kumquat-coordination/src/coordinator/moves.rs
+++ b/crates/kumquat-coordination/src/coordinator/moves.rs
@@ -13,6 +13,9 @@
 /// Part of a table that may move at once for balance only: an upstream that joins cold gets its slots little by little.
 const STEP_PART: u32 = 64;
 
+/// Load of an idle slot, as a part of the mean load of a slot.
+const IDLE_PART: u64 = 50;
+
 /// Shortest time between two moves for balance; a cold upstream completes several requests per slot in between.
 const BALANCE_EVERY: Duration = Duration::from_millis(200);
 
@@ -249,7 +252,7 @@
         });
     loads.resize(table.slots as usize, 0);
     // An idle slot counts a little, because its keys cost memory and may wake up.
-    let base = (loads.iter().sum::<u64>() / u64::from(table.slots.max(1)) / 10).max(1);
+    let base = (loads.iter().sum::<u64>() / u64::from(table.slots.max(1)) / IDLE_PART).max(1);
     for load in &mut loads {
         *load += base;
     }
