--- a/crates/kumquat-coordination/examples/dispatch_tuning/sim.rs
+++ b/crates/kumquat-coordination/examples/dispatch_tuning/sim.rs
@@ -14,76 +14,11 @@
 use rand::{RngExt, SeedableRng};
 
 use super::baseline::{LEASE_PERIOD, Lease};
+use super::event::{Event, NEAR, Request, Sent, one_way};
 use super::model::{
     CENTRES, ENTRIES, Job, Policy, Reception, Report, Server, Setup, WEIGHTS, exponential, length,
 };
 
-/// One way through the network of a data centre, in microseconds.
-pub const NEAR: u64 = 40;
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Event {
-    Arrive,
-    AtGroup {
-        request: usize,
-        group: usize,
-    },
-    Wake {
-        group: usize,
-    },
-    AtUpstream {
-        upstream: usize,
-        group: usize,
-        attempt: u64,
-    },
-    Served {
-        upstream: usize,
-        token: u64,
-    },
-    Cancelled {
-        upstream: usize,
-        group: usize,
-        attempt: u64,
-    },
-    Ended {
-        group: usize,
-        attempt: u64,
-        outcome: u8,
-    },
-    AtEntry {
-        request: usize,
-        group: usize,
-        answered: bool,
-        load: usize,
-    },
-    Slow {
-        upstream: usize,
-    },
-    Chill {
-        upstream: usize,
-    },
-    MoveLeases,
-}
-
-#[derive(Clone, Debug)]
-pub struct Request {
-    pub arrived: u64,
-    pub deadline: u64,
-    pub class: Class,
-    pub team: usize,
-    pub idempotent: bool,
-    pub entry: usize,
-    pub target: usize,
-}
-
-/// One attempt as the driver of a group knows it.
-#[derive(Clone, Copy, Debug)]
-pub struct Sent {
-    pub attempt: u64,
-    pub request: usize,
-    pub upstream: usize,
-}
-
 /// All state of a run.
 pub struct World<'a> {
     pub setup: &'a Setup,
@@ -281,7 +216,16 @@
             } => self.at_entry(request, group, answered, load),
             Event::Slow { upstream } => self.servers[upstream].slowness = 10.0,
             Event::Chill { upstream } => {
-                self.servers[upstream].chill();
+                let now = self.now;
+                for job in self.servers[upstream].chill(now) {
+                    let (group, attempt) = (job.group, job.attempt);
+                    let event = Event::Ended {
+                        group,
+                        attempt,
+                        outcome: 2,
+                    };
+                    self.at(now + NEAR, event);
+                }
                 if self.setup.cold_is_announced && self.setup.policy == Policy::Groups {
                     let group = upstream % CENTRES;
                     let (now, boot) = (self.instant(), self.servers[upstream].boot);
@@ -308,7 +252,12 @@
             choice -= f64::from(WEIGHTS[team]);
             team += 1;
         }
-        let is_urgent = self.rng.random_bool(self.setup.urgent);
+        let urgent = if team + 1 == WEIGHTS.len() {
+            self.setup.last_urgent
+        } else {
+            self.setup.urgent
+        };
+        let is_urgent = self.rng.random_bool(urgent);
         let class = if is_urgent {
             Class::Urgent
         } else {
@@ -336,7 +285,7 @@
             (Policy::Groups, Kind::Keyed) => self.forward(request, target % CENTRES),
             (Policy::Groups, Kind::Pool) => {
                 let now = self.instant();
-                let chosen = self.balances[entry].choose(now).expect("a group");
+                let chosen = self.balances[entry].choose(now, class).expect("a group");
                 let group = self
                     .centres
                     .binary_search(&chosen)
@@ -395,6 +344,7 @@
                         attempt,
                         request,
                         upstream,
+                        at: self.now,
                     });
                     self.at(
                         self.now + NEAR,
@@ -456,7 +406,12 @@
         let now = self.instant();
         if self.setup.policy == Policy::Groups {
             let load = self.loads[load];
-            self.balances[known.entry].on_answer(now, &self.centres[group], Some(load));
+            self.balances[known.entry].on_answer(
+                now,
+                &self.centres[group],
+                known.class,
+                Some(load),
+            );
         }
         if !self.is_measured(request) {
             return;
@@ -481,6 +436,7 @@
             group,
             attempt,
             token: self.next_token,
+            sent: sent.at,
             deadline: self.requests[sent.request].deadline,
         };
         let token = job.token;
@@ -569,17 +525,9 @@
         }
         for server in &self.servers {
             self.report.overloads += server.overloads;
+            self.report.overtaken += server.overtaken;
             self.report.most_at_upstream = self.report.most_at_upstream.max(server.most);
         }
         self.report
     }
 }
-
-/// Time of one way between two data centres, in microseconds.
-pub fn one_way(setup: &Setup, from: usize, to: usize) -> u64 {
-    if from == to {
-        NEAR
-    } else {
-        length(setup.distance) / 2
-    }
-}
