Choose groups by class and count requests in flight exactly

Cause: the merged balance tells urgent from ordinary load; the entry counted a refused request down twice and never counted one down whose caller had hung up, so that a group could look idle or busy for ever. Change: a chosen group is a value that counts the request as in flight until it is dropped; load reports carry urgent and ordinary queue lengths.

--- a/crates/kumquat-dispatch/src/group.rs
+++ b/crates/kumquat-dispatch/src/group.rs
@@ -468,7 +468,8 @@
     fn load(&self) -> wire::Load {
         let load = self.group.load(clock::now());
         wire::Load {
-            queued: load.queued,
+            urgent: load.urgent,
+            ordinary: load.ordinary,
             running: load.running,
             slots: load.slots,
             attempt_us: u32::try_from(load.service_time.as_micros()).unwrap_or(u32::MAX),
--- a/crates/kumquat-entry/src/balance.rs
+++ b/crates/kumquat-entry/src/balance.rs
@@ -5,10 +5,9 @@
 
 use kumquat_coordination::balance::{Balance, Candidate, Load, Options};
 use kumquat_protocol::wire;
-use kumquat_state::bundle::{Bundle, Service};
+use kumquat_state::bundle::{Bundle, Class, Service};
 use kumquat_state::clock;
 use kumquat_state::ident;
-use kumquat_state::ledger::Name;
 
 use crate::target;
 
@@ -32,6 +31,70 @@
     balance: Balance,
 }
 
+/// A request in flight at a chosen group.
+#[derive(Debug)]
+pub struct Chosen<'a> {
+    choice: &'a Choice,
+    service: ident::Service,
+    data_centre: ident::DataCentre,
+    class: Class,
+    end: End,
+}
+
+/// How a request ended at a group.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    /// The caller hung up, or the end says nothing about the group.
+    Unknown,
+    /// The group answered or refused and told its load.
+    Load(wire::Load),
+    /// The group's VM was out of reach or did not act for it.
+    Failed,
+}
+
+impl Chosen<'_> {
+    /// Returns the data centre of the group.
+    #[must_use]
+    pub const fn data_centre(&self) -> &ident::DataCentre {
+        &self.data_centre
+    }
+
+    /// Ends the request with the load that the group told.
+    pub fn answered(mut self, load: wire::Load) {
+        self.end = End::Load(load);
+    }
+
+    /// Ends the request because the group could not be reached.
+    pub fn failed(mut self) {
+        self.end = End::Failed;
+    }
+}
+
+impl Drop for Chosen<'_> {
+    fn drop(&mut self) {
+        let now = clock::now();
+        let mut services = self.choice.lock();
+        let found = services.binary_search_by(|entry| entry.service.cmp(&self.service));
+        let Ok(index) = found else { return };
+        let balance = &mut services[index].balance;
+        match self.end {
+            End::Unknown => balance.on_answer(now, &self.data_centre, self.class, None),
+            End::Load(load) => {
+                let load = Load {
+                    at: now,
+                    urgent: load.urgent,
+                    ordinary: load.ordinary,
+                    running: load.running,
+                    slots: load.slots,
+                    service_time: Duration::from_micros(u64::from(load.attempt_us)),
+                };
+                balance.on_answer(now, &self.data_centre, self.class, Some(load));
+            }
+            End::Failed => balance.on_failure(now, &self.data_centre, self.class),
+        }
+    }
+}
+
 impl Choice {
     /// Creates the choice for an entry in data centre `own`.
     #[must_use]
@@ -43,7 +106,10 @@
     }
 
     /// Chooses the data centre whose group gets the next request of a service.
-    pub fn choose(&self, bundle: &Bundle, service: &Service) -> Option<ident::DataCentre> {
+    ///
+    /// The request counts as in flight there until the returned value is dropped.
+    #[must_use]
+    pub fn choose(&self, bundle: &Bundle, service: &Service, class: Class) -> Option<Chosen<'_>> {
         let mut services = self.lock();
         let index = match services.binary_search_by(|entry| entry.service.cmp(&service.name)) {
             Ok(index) => index,
@@ -57,42 +123,14 @@
             entry.bundle = bundle.version;
             entry.balance.set_groups(&self.candidates(bundle, service));
         }
-        entry.balance.choose(clock::now())
-    }
-
-    /// Takes the load that a group reported with an answer.
-    pub fn report(&self, role: &Name, load: wire::Load) {
-        let now = clock::now();
-        let load = Load {
-            at: now,
-            queued: load.queued,
-            running: load.running,
-            slots: load.slots,
-            service_time: Duration::from_micros(u64::from(load.attempt_us)),
-        };
-        self.update(role, |balance, centre| {
-            balance.on_answer(now, centre, Some(load));
-        });
-    }
-
-    /// Notes that a group failed to answer.
-    pub fn failed(&self, role: &Name) {
-        let now = clock::now();
-        self.update(role, |balance, centre| balance.on_failure(now, centre));
-    }
-
-    fn update(&self, role: &Name, change: impl FnOnce(&mut Balance, &ident::DataCentre)) {
-        let Name::Group {
-            service,
+        let data_centre = entry.balance.choose(clock::now(), class)?;
+        Some(Chosen {
+            choice: self,
+            service: service.name.clone(),
             data_centre,
-        } = role
-        else {
-            return;
-        };
-        let mut services = self.lock();
-        if let Ok(index) = services.binary_search_by(|entry| entry.service.cmp(service)) {
-            change(&mut services[index].balance, data_centre);
-        }
+            class,
+            end: End::Unknown,
+        })
     }
 
     fn entry(&self, service: &Service) -> Entry {
--- a/crates/kumquat-entry/src/router.rs
+++ b/crates/kumquat-entry/src/router.rs
@@ -11,7 +11,7 @@
 
 use kumquat_coordination::routing::{Attempts, Budget, Cause, Failure, Next};
 use kumquat_protocol::wire::{self, Message, Outcome, Reason};
-use kumquat_state::bundle::{Bundle, Class, Kind, Service};
+use kumquat_state::bundle::{Class, Kind, Service};
 use kumquat_state::clock::{self, Instant};
 use kumquat_state::ident;
 use kumquat_state::ledger::{Ledger, Name};
@@ -169,18 +169,51 @@
         let (bundle, ledger) = (self.config.bundle(), self.config.ledger());
         let (bundle, ledger) = bundle.zip(ledger).ok_or_else(moved)?;
         let Call { head, body } = call;
-        let centre = self.data_centre(&bundle, &ledger, head).ok_or_else(moved)?;
+        let chosen = match head.key {
+            Some(_) => None,
+            None => Some(
+                self.balance
+                    .choose(&bundle, &head.service, head.class)
+                    .ok_or_else(moved)?,
+            ),
+        };
+        let data_centre = match (&chosen, head.key) {
+            (Some(chosen), _) => chosen.data_centre().clone(),
+            (None, Some(key)) => {
+                target::owner_data_centre(&bundle, &ledger, &head.service, key).ok_or_else(moved)?
+            }
+            (None, None) => return Err(moved()),
+        };
         let role = Name::Group {
             service: head.service.name.clone(),
-            data_centre: centre,
+            data_centre,
         };
-        let (rank, member) = self.memory.holder(&ledger, &role).ok_or_else(moved)?;
+        let result = self.exchange(&ledger, &role, head, body).await;
+        match (&result, chosen) {
+            (_, None) => {}
+            (Ok((_, load)) | Err((_, Some(load))), Some(chosen)) => chosen.answered(*load),
+            (Err((_, None)), Some(chosen)) => chosen.failed(),
+        }
+        result
+            .map(|(response, _)| response)
+            .map_err(|(failed, _)| failed)
+    }
 
-        let mut exchange = match self.open(member, &role, head, body.exists()).await {
+    /// Sends the request to the acting holder of a role; both results carry the group's load if it was told.
+    async fn exchange(
+        &self,
+        ledger: &Ledger,
+        role: &Name,
+        head: &CallHead,
+        body: &mut CallerBody,
+    ) -> Result<(Response, wire::Load), (Failed, Option<wire::Load>)> {
+        let moved = || (Failed::not_run(Cause::Moved, Reason::NoOwner), None);
+        let (rank, member) = self.memory.holder(ledger, role).ok_or_else(moved)?;
+        let mut exchange = match self.open(member, role, head, body.exists()).await {
             Ok(exchange) => exchange,
             Err(failed) => {
-                self.memory.failed(&ledger, &role, rank);
-                return Err(failed);
+                self.memory.failed(ledger, role, rank);
+                return Err((failed, None));
             }
         };
         let too_large = match exchange.outgoing.take() {
@@ -189,42 +222,31 @@
         };
 
         let left = clock::now().until(head.deadline) + GRACE;
-        let result = match timeout(left, exchange.head()).await {
+        let (failed, load) = match timeout(left, exchange.head()).await {
             Ok(Ok(Head::Answer(answer))) => {
-                self.balance.report(&role, answer.load);
-                return Ok(respond(&answer, exchange));
+                let load = answer.load;
+                return Ok((respond(&answer, exchange), load));
             }
             Ok(Ok(Head::Refusal(refusal))) => {
                 exchange.finish();
-                self.balance.report(&role, refusal.load);
-                if refusal.reason == Reason::NotActing {
-                    self.memory.failed(&ledger, &role, rank);
+                // A VM that does not act for the group knows nothing of its load.
+                let acting = refusal.reason != Reason::NotActing;
+                if !acting {
+                    self.memory.failed(ledger, role, rank);
                 }
-                Failed::from(refusal.as_ref())
+                let load = acting.then_some(refusal.load);
+                (Failed::from(refusal.as_ref()), load)
             }
             Ok(Err(_)) => {
-                self.memory.failed(&ledger, &role, rank);
-                Failed::unknown(Cause::Broken, Reason::PeerLost)
+                self.memory.failed(ledger, role, rank);
+                (Failed::unknown(Cause::Broken, Reason::PeerLost), None)
             }
-            Err(_) => Failed::unknown(Cause::Final, Reason::Deadline),
+            Err(_) => (Failed::unknown(Cause::Final, Reason::Deadline), None),
         };
-        self.balance.failed(&role);
         if too_large.is_some_and(|flag| flag.load(Ordering::Acquire)) {
-            return Err(Failed::unknown(Cause::Final, Reason::Broken));
-        }
-        Err(result)
-    }
-
-    fn data_centre(
-        &self,
-        bundle: &Bundle,
-        ledger: &Ledger,
-        call: &CallHead,
-    ) -> Option<ident::DataCentre> {
-        match call.key {
-            Some(key) => target::owner_data_centre(bundle, ledger, &call.service, key),
-            None => self.balance.choose(bundle, &call.service),
+            return Err((Failed::unknown(Cause::Final, Reason::Broken), load));
         }
+        Err((failed, load))
     }
 
     /// Sends the head of the request; a failure means that it did not run.
--- a/crates/kumquat-protocol/src/wire.rs
+++ b/crates/kumquat-protocol/src/wire.rs
@@ -144,9 +144,12 @@
 /// Load of a dispatch group, sent along with answers and refusals.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
-    /// Requests in the queue.
-    #[serde(rename = "q")]
-    pub queued: u32,
+    /// Urgent requests in the queue.
+    #[serde(rename = "u")]
+    pub urgent: u32,
+    /// Ordinary requests in the queue; the longest team counts no more than all others together.
+    #[serde(rename = "o")]
+    pub ordinary: u32,
     /// Attempts that are running.
     #[serde(rename = "r")]
     pub running: u32,
