Report what each VM has in force through the coordinator

Cause: the operators' status listed one key per VM, which no VM wrote and which would cost 1,700 writes for each change of configuration at size. Change: the coordinator stores one report per cell from the versions in heartbeats, at most once a second; kumquatctl status reads it. Its test now uses the cell's report with the same expectation. Conclusion: status shows which VMs do not have a version in force.

--- a/crates/kumquat-dispatch/src/control.rs
+++ b/crates/kumquat-dispatch/src/control.rs
@@ -328,6 +328,7 @@
         if now >= self.next_freshness {
             self.next_freshness = now + FRESHNESS_EVERY;
             self.tell_entries(now);
+            self.report_status(now);
         }
         self.peers.tick();
         self.direct_platform(now);
--- a/crates/kumquat-dispatch/src/control/coordination.rs
+++ b/crates/kumquat-dispatch/src/control/coordination.rs
@@ -16,7 +16,7 @@
 
 use super::Control;
 use crate::group::Status;
-use crate::platform::{self, Outcome, Written};
+use crate::platform::{self, InForce, Outcome, Written};
 
 /// Longest time between two plans while nothing is reported.
 const PLAN_EVERY: Duration = Duration::from_millis(100);
@@ -437,6 +437,37 @@
         coordination.platform.direct(campaign, watch);
     }
 
+    /// Reports what the VMs of the cell have in force, if this VM is the coordinator.
+    pub(super) fn report_status(&self, now: Instant) {
+        let mut report = Vec::new();
+        if self.coordination.is_coordinator() {
+            report.push(InForce {
+                vm: self.me.vm.clone(),
+                version: self.documents.bundle_version().0,
+                ledger: self.documents.ledger_revision().0,
+            });
+            let suspects = self.authority.suspects(now);
+            let heard = self.authority.peers().iter().filter(|peer| {
+                peer.heard.is_some()
+                    && !suspects.contains(&peer.holder)
+                    && self.is_connected(&peer.holder)
+            });
+            report.extend(heard.map(|peer| InForce {
+                vm: peer.holder.vm.clone(),
+                version: peer.bundle.0,
+                ledger: peer.ledger.0,
+            }));
+            report.sort_by(|a, b| a.vm.cmp(&b.vm));
+        }
+        self.coordination.platform.set_status(report);
+    }
+
+    fn is_connected(&self, holder: &Holder) -> bool {
+        self.peers
+            .identities()
+            .any(|identity| identity.vm == holder.vm && identity.incarnation == holder.incarnation)
+    }
+
     /// Returns whether this VM has the lowest name of the live members in its data centre.
     fn is_deputy(&self, now: Instant) -> bool {
         let suspects = self.authority.suspects(now);
--- a/crates/kumquat-dispatch/src/platform.rs
+++ b/crates/kumquat-dispatch/src/platform.rs
@@ -22,9 +22,11 @@
 mod lease;
 mod pace;
 mod segments;
+mod status;
 mod write;
 
 use pace::Pace;
+pub use status::InForce;
 
 /// Key of the ledger's head in the store.
 const LEDGER: &str = "ledger";
@@ -82,6 +84,7 @@
 pub struct Handle {
     orders: mpsc::Sender<Order>,
     direction: Arc<watch::Sender<Direction>>,
+    status: Arc<watch::Sender<Vec<InForce>>>,
 }
 
 /// What all tasks share.
@@ -140,11 +143,14 @@
         heads.clone(),
     ));
     tokio::spawn(lease::hold(context.clone(), me.clone()));
+    let (status, reports) = watch::channel(Vec::new());
+    tokio::spawn(status::store(context.clone(), reports));
     tokio::spawn(segments::store(context.clone(), trail));
     tokio::spawn(write::run(context, ordered, heads));
     Handle {
         orders,
         direction: Arc::new(direction),
+        status: Arc::new(status),
     }
 }
 
@@ -165,6 +171,15 @@
         });
     }
 
+    /// Sets what the VMs of the cell have in force; empty if this VM is not the coordinator.
+    pub fn set_status(&self, report: Vec<InForce>) {
+        self.status.send_if_modified(|status| {
+            let changed = *status != report;
+            *status = report;
+            changed
+        });
+    }
+
     /// Stores a ledger; the end is reported as [`Event::Written`].
     ///
     /// Returns false if too many writes wait already, which a coordinator with one write at a time does not see.
--- a/crates/kumquatctl/src/commands/show.rs
+++ b/crates/kumquatctl/src/commands/show.rs
@@ -17,13 +17,22 @@
 /// Number of segments that are checked together; it bounds the memory for long trails.
 const CHAIN_BATCH: usize = 64;
 
-/// What a VM reports.
+/// What the coordinator of a cell reports.
+#[derive(Debug, Deserialize)]
+struct Cell {
+    /// Wall-clock time of the report in milliseconds since 1970.
+    time: u64,
+    /// The VMs that it hears.
+    vms: Vec<Reported>,
+}
+
+/// What a VM has in force.
 #[derive(Debug, Deserialize)]
 struct Reported {
+    /// Name of the VM.
+    vm: String,
     /// Version of the bundle in force.
     version: u64,
-    /// Wall-clock time of the report in milliseconds since 1970.
-    time: u64,
 }
 
 /// Shows the accepted version and what each VM has in force.
@@ -36,41 +45,39 @@
     let mut vms = Vec::new();
     let mut behind = 0;
     for key in store.list(STATUS_PREFIX).await? {
-        // A VM that left in the meantime has no report any more.
+        // A cell that was dissolved in the meantime has no report any more.
         let Some(value) = store.get(&key).await? else {
             continue;
         };
-        let vm = key.strip_prefix(STATUS_PREFIX).unwrap_or(&key);
-        let Ok(reported) = serde_json::from_slice::<Reported>(&value.bytes) else {
+        let Ok(cell) = serde_json::from_slice::<Cell>(&value.bytes) else {
             behind += 1;
             rows.push(vec![
-                vm.to_owned(),
+                key.clone(),
                 "unreadable".to_owned(),
                 String::new(),
                 String::new(),
             ]);
-            vms.push(json!({ "vm": vm, "error": "the report can't be read" }));
+            vms.push(json!({ "key": key, "error": "the report can't be read" }));
             continue;
         };
-        let state = if reported.version == accepted {
-            "current"
-        } else {
-            behind += 1;
-            "behind"
-        };
-        let age_ms = now.saturating_sub(reported.time);
-        rows.push(vec![
-            vm.to_owned(),
-            reported.version.to_string(),
-            state.to_owned(),
-            format!("{}.{} s", age_ms / 1_000, age_ms % 1_000 / 100),
-        ]);
-        vms.push(json!({
-            "vm": vm,
-            "version": reported.version,
-            "state": state,
-            "age-ms": age_ms,
-        }));
+        let age_ms = now.saturating_sub(cell.time);
+        for reported in cell.vms {
+            let is_current = reported.version == accepted;
+            behind += u32::from(!is_current);
+            let state = if is_current { "current" } else { "behind" };
+            rows.push(vec![
+                reported.vm.clone(),
+                reported.version.to_string(),
+                state.to_owned(),
+                format!("{}.{} s", age_ms / 1_000, age_ms % 1_000 / 100),
+            ]);
+            vms.push(json!({
+                "vm": reported.vm,
+                "version": reported.version,
+                "state": state,
+                "age-ms": age_ms,
+            }));
+        }
     }
 
     let mut text = format!(
--- a/crates/kumquatctl/tests/operator.rs
+++ b/crates/kumquatctl/tests/operator.rs
@@ -325,9 +325,11 @@
 fn altered_trails_and_lagging_vms_are_shown() {
     let desk = Desk::with_bundle("shown");
     assert_eq!(status(&desk.change(&["data-centre", "back", "b"])), 0);
-    desk.store.set("status/vm-1", br#"{"version":2,"time":1}"#);
-    desk.store.set("status/vm-2", br#"{"version":1,"time":1}"#);
-    desk.store.set("status/vm-3", b"damaged");
+    desk.store.set(
+        "status/cell",
+        br#"{"time":1,"vms":[{"vm":"vm-1","version":2,"ledger":7},{"vm":"vm-2","version":1,"ledger":7}]}"#,
+    );
+    desk.store.set("status/cell-2", b"damaged");
     let shown_status = desk.json(&["status"]);
     assert_eq!(shown_status["behind"], 2, "{shown_status}");
 
