--- a/crates/kumquat-coordination/src/authority.rs
+++ b/crates/kumquat-coordination/src/authority.rs
@@ -4,6 +4,7 @@
 //! nor on any durable state. See `docs/design.md`, section 3.
 
 mod campaign;
+mod canonical;
 mod membership;
 mod message;
 mod peer;
@@ -213,9 +214,8 @@
         for target in heartbeat.pledges.iter().take(PLEDGE_LIMIT) {
             if *target == self.me {
                 self.evict(&mut actions);
-            } else {
-                self.learn_pledge(now, &heartbeat.from, target, lapse);
             }
+            self.learn_pledge(now, &heartbeat.from, target, lapse);
         }
         self.cancel_pre_vote(&heartbeat.from);
         self.settle(now, &mut actions);
@@ -472,7 +472,7 @@
             .flat_map(|peer| &peer.pledges)
             .chain(&self.pledges)
             .map(|pledge| &pledge.target)
-            .filter(|target| !self.is_fenced(target))
+            .filter(|target| **target != self.me && !self.is_fenced(target))
             .collect();
         targets.sort_unstable();
         targets.dedup();
--- a/crates/kumquat-coordination/src/authority/campaign.rs
+++ b/crates/kumquat-coordination/src/authority/campaign.rs
@@ -59,6 +59,7 @@
         // A binding request proves a pledge against this VM, because the sender pledges before it asks others.
         if request.target == self.me && request.binding {
             self.evict(&mut actions);
+            self.learn_pledge(now, &request.from, &request.target, None);
         }
         let verdict = self.judge(now, request);
         if verdict != Verdict::Refused && request.binding {
--- a/crates/kumquat-coordination/tests/authority.rs
+++ b/crates/kumquat-coordination/tests/authority.rs
@@ -281,3 +281,23 @@
     )));
     assert!(fenced.contains(&Action::Fenced(holder(2, 1))));
 }
+
+/// Guards against a fenced coordinator that removes the members that have pledged against it, and acts again.
+#[test]
+fn a_coordinator_counts_pledges_against_itself() {
+    let mut machines = cell(3);
+    run(&mut machines, &connected, 0..1200, &[]);
+    let left = membership(2, &[holder(0, 1), holder(1, 1)]);
+    let before = machines[0].may_change(millis(1200), &left);
+
+    let mut by_request = machines[0].clone();
+    by_request.on_fence_request(millis(1200), &request(holder(2, 1), holder(0, 1), true));
+    let mut by_heartbeat = machines[0].clone();
+    let mut beat = heartbeat(holder(2, 1), 1000, None);
+    beat.pledges = vec![holder(0, 1)];
+    by_heartbeat.on_heartbeat(millis(1200), &beat);
+
+    assert!(before);
+    assert!(!by_request.may_change(millis(1200), &left));
+    assert!(!by_heartbeat.may_change(millis(1200), &left));
+}
