Add a bounded counter for the hottest keys

Cause: the coordinator needs the hottest keys of each service, and there may be over a billion keys. Change: hotkey::Counter is the space-saving algorithm with exponential decay in eight steps per half-life; it reports each key with an upper bound of its rate and the largest error. Entries are a sorted vector; a request for a key without entry scans all entries for the lowest count.

--- a/crates/kumquat-coordination/src/lib.rs
+++ b/crates/kumquat-coordination/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod coordinator;
 pub mod grant;
+pub mod hotkey;
 pub mod limit;
