Test leaving VMs, resized and removed slot tables

Cause: hand-over by a leaving VM and the change of a table's slot count had no test, although both wait for releases of others. Change: two directed tests for the coordinator: a leaving VM ends in no holder list, and a table is resized or removed only while no upstream holds a slot of it.

--- a/crates/kumquat-coordination/tests/coordinator.rs
+++ b/crates/kumquat-coordination/tests/coordinator.rs
@@ -275,6 +275,48 @@
     assert_eq!(table(&world).placements, vec![]);
 }
 
+/// Guards against a VM that stops while roles still depend on it.
+#[test]
+fn leaving_vm_hands_over_its_roles() {
+    let mut world = settled(9, 6);
+    let leaving = holder(&world.vms[0].member);
+
+    world.leaving = vec![leaving.vm.clone()];
+    settle(&mut world);
+
+    assert!(world.releases > 0);
+    check_roles(&world);
+    for role in &world.ledger.roles {
+        assert!(!role.holders.contains(&leaving), "{role:?}");
+    }
+}
+
+/// Guards against a new slot count that takes effect while upstreams hold slots of the old numbering, and against a
+/// service that leaves its table and roles behind.
+#[test]
+fn table_is_resized_and_removed_only_when_nothing_is_held() {
+    let mut world = settled(9, 6);
+
+    world.bundle.services[0].slots = SLOTS * 2;
+    let mut is_held = false;
+    for _ in 0..1_000 {
+        let before = world.ledger.table(&service()).map(|table| table.slots);
+        world.communicate(2);
+        world.coordinate();
+        let after = world.ledger.table(&service()).map(|table| table.slots);
+        is_held |= before != after && world.upstreams.values().any(|held| !held.slots.is_empty());
+    }
+    let resized = world.ledger.table(&service()).expect("a table").clone();
+    world.bundle.services.clear();
+    settle(&mut world);
+
+    assert!(!is_held, "the table was resized while slots were held");
+    assert_eq!(resized.slots, SLOTS * 2);
+    assert!(resized.ranges.iter().all(|range| range.owner.is_some()));
+    assert_eq!(world.ledger.tables, vec![]);
+    assert_eq!(world.ledger.roles.len(), 4, "only the homes remain");
+}
+
 /// Guards against hot keys that overload their upstream, or that move back and forth.
 #[test]
 fn hot_keys_move_apart_and_stay() {
