--- a/crates/kumquat-coordination/src/lib.rs
+++ b/crates/kumquat-coordination/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod coordinator;
 pub mod dispatch;
 pub mod grant;
+pub mod hotkey;
 pub mod limit;
 pub mod queue;
 pub mod role;
