Take refused and broken connections as signs of a cold start

Change: a refused connection alone, or two sheds or broken connections among the last eight attempts, turn an upstream cold.

--- a/crates/kumquat-coordination/examples/dispatch_tuning/event.rs
+++ b/crates/kumquat-coordination/examples/dispatch_tuning/event.rs
@@ -45,6 +45,9 @@
     Slow {
         upstream: usize,
     },
+    Lose {
+        upstream: usize,
+    },
     Chill {
         upstream: usize,
     },
--- a/crates/kumquat-coordination/examples/dispatch_tuning/main.rs
+++ b/crates/kumquat-coordination/examples/dispatch_tuning/main.rs
@@ -24,23 +24,15 @@
 
 fn run(seed: u64, is_baselines: bool) -> String {
     let mut lines = vec![format!("seed {seed}")];
-    let visit = |name: &str, report: &model::Report| {
+    let mut visit = |name: &str, report: &model::Report| {
         lines.push(format!("{name:<36} {}", report.line()));
     };
     if is_baselines {
         scenario::baselines(seed, visit);
     } else {
-        for target in scenario::targets(seed, visit) {
-            let sign = if target.is_upper {
-                "at most"
-            } else {
-                "at least"
-            };
-            let verdict = if target.is_met() { "met" } else { "MISSED" };
-            lines.push(format!(
-                "{verdict:<7} {:<52} {:.4} ({sign} {})",
-                target.name, target.value, target.bound
-            ));
+        let targets = scenario::PARTS.map(|part| scenario::targets(seed, part, false, &mut visit));
+        for target in targets.iter().flatten() {
+            lines.push(target.line());
         }
     }
     lines.join("\n") + "\n"
--- a/crates/kumquat-coordination/examples/dispatch_tuning/model.rs
+++ b/crates/kumquat-coordination/examples/dispatch_tuning/model.rs
@@ -75,8 +75,12 @@
     pub length: Duration,
     /// Start of the measurement; before it the upstreams warm up.
     pub measured_from: Duration,
-    /// Upstreams that become ten times slower.
+    /// Upstreams that become slower.
     pub stragglers: Vec<Change>,
+    /// Factor on the service time of stragglers.
+    pub slowness: f64,
+    /// Upstreams that refuse all connections from then on.
+    pub lost: Vec<Change>,
     /// Upstreams that turn cold.
     pub cold: Vec<Change>,
     /// Whether a cold start shows in the boot id at once.
@@ -109,6 +113,8 @@
             length: Duration::from_secs(23),
             measured_from: Duration::from_secs(3),
             stragglers: Vec::new(),
+            slowness: 10.0,
+            lost: Vec::new(),
             cold: Vec::new(),
             cold_is_announced: true,
             policy: Policy::Groups,
@@ -152,6 +158,8 @@
     Waits,
     /// It is refused as "not run".
     Sheds,
+    /// The connection is not established.
+    Refuses,
 }
 
 /// An upstream with slots, cold start and slowness.
@@ -161,6 +169,7 @@
     pub is_cold: bool,
     pub completed: u32,
     pub slowness: f64,
+    pub is_lost: bool,
     pub running: Vec<Job>,
     pub waiting: Vec<Job>,
     pub boot: u64,
@@ -181,6 +190,7 @@
             is_cold: true,
             completed: 0,
             slowness: 1.0,
+            is_lost: false,
             running: Vec::new(),
             waiting: Vec::new(),
             boot: 1,
@@ -211,6 +221,9 @@
     }
 
     pub fn receive(&mut self, now: u64, job: Job, setup: &Setup, rng: &mut SmallRng) -> Reception {
+        if self.is_lost {
+            return Reception::Refuses;
+        }
         self.most = self
             .most
             .max((self.running.len() + self.waiting.len() + 1) as u64);
@@ -327,6 +340,11 @@
         whole(self.in_time) / self.seconds / self.capacity
     }
 
+    /// Refused requests, relative to the requests.
+    pub fn refused_share(&self) -> f64 {
+        whole(self.refused) / whole(self.arrivals.max(1))
+    }
+
     /// Extra attempts by hedging, relative to the requests.
     pub fn hedge_share(&self) -> f64 {
         whole(self.hedges) / whole(self.arrivals.max(1))
--- a/crates/kumquat-coordination/examples/dispatch_tuning/scenario.rs
+++ b/crates/kumquat-coordination/examples/dispatch_tuning/scenario.rs
@@ -88,6 +88,16 @@
 }
 
 impl Target {
+    /// One line for people.
+    pub fn line(&self) -> String {
+        let sign = if self.is_upper { "at most" } else { "at least" };
+        let verdict = if self.is_met() { "met" } else { "MISSED" };
+        format!(
+            "{verdict:<7} {:<52} {:.4} ({sign} {})",
+            self.name, self.value, self.bound
+        )
+    }
+
     /// Returns whether the value keeps to the bound.
     pub fn is_met(&self) -> bool {
         if self.is_upper {
@@ -130,24 +140,50 @@
     }
 }
 
-/// Runs all scenarios that have a stated target, with a visitor for the reports.
-pub fn targets(seed: u64, mut visit: impl FnMut(&str, &Report)) -> Vec<Target> {
+/// A group of scenarios.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// Upstreams that become slower.
+    Stragglers,
+    /// Upstreams that stop answering, and cold starts.
+    Losses,
+    /// One team that floods, and overload by all teams.
+    Floods,
+}
+
+/// All parts.
+pub const PARTS: [Part; 3] = [Part::Stragglers, Part::Losses, Part::Floods];
+
+/// Runs the scenarios of a part that have a stated target, with a visitor for the reports.
+///
+/// The short form leaves out the variants of load, service time and idempotence.
+pub fn targets(
+    seed: u64,
+    part: Part,
+    is_short: bool,
+    visit: &mut dyn FnMut(&str, &Report),
+) -> Vec<Target> {
     let mut targets = Vec::new();
     for (firm, quiet) in firms(seed) {
         let mut suite = Suite {
             firm,
-            visit: &mut visit,
+            visit,
             targets: Vec::new(),
         };
-        straggler_targets(&mut suite, &quiet);
-        flood_targets(&mut suite, &quiet);
-        cold_targets(&mut suite, &quiet);
+        match part {
+            Part::Stragglers => straggler_targets(&mut suite, &quiet, is_short),
+            Part::Losses => {
+                loss_targets(&mut suite, &quiet);
+                cold_targets(&mut suite, &quiet);
+            }
+            Part::Floods => flood_targets(&mut suite, &quiet),
+        }
         targets.append(&mut suite.targets);
     }
     targets
 }
 
-fn straggler_targets(suite: &mut Suite<'_>, quiet: &Setup) {
+fn straggler_targets(suite: &mut Suite<'_>, quiet: &Setup, is_short: bool) {
     let changed = [
         ("", quiet.clone()),
         (
@@ -165,10 +201,12 @@
             },
         ),
     ];
-    for (at, (variant, base)) in [0.1, 0.5, 0.6]
-        .into_iter()
-        .flat_map(|at| changed.iter().map(move |changed| (at, changed)))
-    {
+    let loads: &[f64] = if is_short { &[0.5] } else { &[0.1, 0.5, 0.6] };
+    let changed = if is_short { &changed[..1] } else { &changed };
+    let runs = loads
+        .iter()
+        .flat_map(|at| changed.iter().map(move |changed| (*at, changed)));
+    for (at, (variant, base)) in runs {
         let base = load(base.clone(), at);
         let normal = suite.run(&format!("quiet {at}{variant}"), &base);
         for (number, upstreams) in [
@@ -193,6 +231,46 @@
     }
 }
 
+/// Runs in which upstreams stop answering, and a start with all upstreams cold.
+fn loss_targets(suite: &mut Suite<'_>, quiet: &Setup) {
+    let change = Change {
+        upstream: 0,
+        at: CHANGE,
+    };
+    for at in [0.1, 0.5] {
+        let base = load(quiet.clone(), at);
+        let frozen = Setup {
+            slowness: 1e4,
+            ..stragglers(base.clone(), &STRAGGLERS[..1])
+        };
+        let lost = Setup {
+            lost: vec![change],
+            ..base.clone()
+        };
+        let start = Setup {
+            measured_from: Duration::ZERO,
+            length: Duration::from_secs(5),
+            ..base.clone()
+        };
+        for (name, setup) in [("frozen", frozen), ("lost", lost), ("start", start)] {
+            let name = format!("{name} at {at}");
+            let report = suite.run(&name, &setup);
+            // While all upstreams are cold they can't bear this load, so that refusals at a start are due.
+            if !setup.measured_from.is_zero() {
+                let refused = report.refused_share();
+                suite.add(&format!("{name}: refused"), refused, 0.001, true);
+            }
+            let overloads = whole(report.overloads);
+            suite.add(
+                &format!("{name}: above what it bears"),
+                overloads,
+                0.0,
+                true,
+            );
+        }
+    }
+}
+
 fn flood_targets(suite: &mut Suite<'_>, quiet: &Setup) {
     for (kind, base) in [("pool", quiet.clone()), ("keyed", keyed(quiet.clone()))] {
         // At 0.8, the flood takes the total above the capacity. Its urgent part then goes before the ordinary requests
--- a/crates/kumquat-coordination/examples/dispatch_tuning/sim.rs
+++ b/crates/kumquat-coordination/examples/dispatch_tuning/sim.rs
@@ -57,6 +57,10 @@
         let upstream = change.upstream;
         world.at(length(change.at), Event::Slow { upstream });
     }
+    for change in &setup.lost {
+        let upstream = change.upstream;
+        world.at(length(change.at), Event::Lose { upstream });
+    }
     for change in &setup.cold {
         let upstream = change.upstream;
         world.at(length(change.at), Event::Chill { upstream });
@@ -214,7 +218,8 @@
                 answered,
                 load,
             } => self.at_entry(request, group, answered, load),
-            Event::Slow { upstream } => self.servers[upstream].slowness = 10.0,
+            Event::Slow { upstream } => self.servers[upstream].slowness = self.setup.slowness,
+            Event::Lose { upstream } => self.servers[upstream].is_lost = true,
             Event::Chill { upstream } => {
                 let now = self.now;
                 for job in self.servers[upstream].chill(now) {
@@ -443,19 +448,20 @@
         match self.servers[upstream].receive(self.now, job, self.setup, &mut self.rng) {
             Reception::Runs(until) => self.at(until, Event::Served { upstream, token }),
             Reception::Waits => {}
-            Reception::Sheds => {
-                self.at(
-                    self.now + NEAR,
-                    Event::Ended {
-                        group,
-                        attempt,
-                        outcome: 1,
-                    },
-                );
-            }
+            Reception::Sheds => self.fail(group, attempt, 1),
+            Reception::Refuses => self.fail(group, attempt, 3),
         }
     }
 
+    fn fail(&mut self, group: usize, attempt: u64, outcome: u8) {
+        let event = Event::Ended {
+            group,
+            attempt,
+            outcome,
+        };
+        self.at(self.now + NEAR, event);
+    }
+
     fn served(&mut self, upstream: usize, token: u64) {
         let Some(job) = self.servers[upstream].complete(token) else {
             return;
@@ -490,6 +496,7 @@
                 let outcome = match outcome {
                     0 => Outcome::Completed { status_class: 2 },
                     1 => Outcome::Shed,
+                    3 => Outcome::NotConnected,
                     _ => Outcome::Broken,
                 };
                 let now = self.instant();
--- a/crates/kumquat-coordination/src/dispatch/cold.rs
+++ b/crates/kumquat-coordination/src/dispatch/cold.rs
@@ -2,6 +2,7 @@
 //!
 //! See "Cold start" in `docs/design.md`, section 5.
 
+use super::Outcome;
 use super::latency::Mean;
 
 /// Rise of the recent latency above the upstream's own baseline that counts as a cold start.
@@ -16,8 +17,11 @@
 /// Weight of a new sample in the baseline; it follows slow changes but not a cold start.
 const BASELINE_WEIGHT: f64 = 1.0 / 64.0;
 
-/// Sheds among the last eight attempts that count as a cold start.
-const SHEDS: u32 = 2;
+/// Failures among the last eight attempts that count as a cold start.
+///
+/// A single shed or broken connection has other causes too. A refused connection counts alone, because nothing listens
+/// while an upstream restarts.
+const FAILURES: u32 = 2;
 
 /// Ramp lengths after which a still slow upstream is taken as it is: its latency is the new baseline.
 const PATIENCE: u32 = 8;
@@ -33,8 +37,8 @@
     /// Grows with each cold start, so that completions of earlier attempts don't count.
     period: u32,
     baseline: Mean,
-    /// Outcomes of the last eight attempts, one bit each, set for a shed.
-    sheds: u8,
+    /// Outcomes of the last eight attempts, one bit each, set for a failure.
+    failures: u8,
 }
 
 impl Ramp {
@@ -48,7 +52,7 @@
             completed: 0,
             period: 0,
             baseline: Mean::new(0.0),
-            sheds: 0,
+            failures: 0,
         }
     }
 
@@ -83,12 +87,12 @@
         self.cold = true;
         self.completed = 0;
         self.period += 1;
-        self.sheds = 0;
+        self.failures = 0;
     }
 
     /// Counts a completed attempt that was sent in `period`; returns whether the upstream has become warm.
     pub(crate) fn complete(&mut self, period: u32, recent: Mean, group: f64) -> bool {
-        self.sheds <<= 1;
+        self.failures <<= 1;
         if !self.cold || period != self.period {
             return false;
         }
@@ -124,10 +128,12 @@
         false
     }
 
-    /// Counts a shed attempt; returns whether the sheds show a cold start.
-    pub(crate) fn shed(&mut self) -> bool {
-        self.sheds = (self.sheds << 1) | 1;
-        self.sheds.count_ones() >= SHEDS && (!self.cold || self.limit() > self.cold_slots)
+    /// Counts a shed, refused or broken attempt; returns whether the failures show a cold start.
+    pub(crate) fn fail(&mut self, outcome: Outcome) -> bool {
+        self.failures = (self.failures << 1) | 1;
+        let shows = outcome == Outcome::NotConnected || self.failures.count_ones() >= FAILURES;
+        // An upstream that is at its cold limit already has nothing to lose.
+        shows && (!self.cold || self.limit() > self.cold_slots.max(1))
     }
 
     /// Returns the baseline if it rests on enough samples.
--- a/crates/kumquat-coordination/src/dispatch/retry.rs
+++ b/crates/kumquat-coordination/src/dispatch/retry.rs
@@ -124,22 +124,17 @@
                     });
                 }
             }
-            Outcome::Shed => {
+            _ if attempt.aborted => {
+                // The time that an aborted attempt took is a lower bound of its latency.
+                self.latency.add(latency);
+            }
+            Outcome::Shed | Outcome::NotConnected | Outcome::Broken | Outcome::TimedOut => {
                 let server = &mut self.servers[index];
-                if server.ramp.shed() {
+                let is_ejectable = server.outlier.fail();
+                if outcome != Outcome::TimedOut && server.ramp.fail(outcome) {
                     self.turn_cold(index, out);
                 }
-                if self.servers[index].outlier.fail() {
-                    self.eject(now, index, out);
-                }
-            }
-            Outcome::NotConnected | Outcome::Broken | Outcome::TimedOut => {
-                if attempt.aborted {
-                    // The time that an aborted attempt took is a lower bound of its latency.
-                    self.latency.add(latency);
-                    return;
-                }
-                if self.servers[index].outlier.fail() {
+                if is_ejectable {
                     self.eject(now, index, out);
                 }
             }
