--- a/crates/kumquat-coordination/src/dispatch.rs
+++ b/crates/kumquat-coordination/src/dispatch.rs
@@ -150,6 +150,14 @@
                 Some(index) => self.servers[index].clone(),
                 None => self.new_server(upstream),
             };
+            // While it was out, it may have restarted unseen, so it comes back like a new one.
+            if server.is_removed || (upstream.takes_work && !server.takes_work) {
+                server.ramp.chill();
+                out.push(Action::TurnedCold {
+                    upstream: server.name.clone(),
+                });
+            }
+            server.is_removed = false;
             server.takes_work = upstream.takes_work;
             server.ramp.slots = upstream.slots;
             server.ramp.cold_slots = upstream.cold_slots;
@@ -164,6 +172,7 @@
             if is_removed && (server.running > 0 || !server.queue.is_empty()) {
                 let mut server = server.clone();
                 server.takes_work = false;
+                server.is_removed = true;
                 servers.push(server);
             }
         }
@@ -201,6 +210,7 @@
             name: upstream.name.clone(),
             running: 0,
             takes_work: upstream.takes_work,
+            is_removed: false,
             boot: None,
             ramp: Ramp::new(upstream.slots, upstream.cold_slots, upstream.cold_step),
             outlier: Outlier::new(),
--- a/crates/kumquat-coordination/src/dispatch/slot.rs
+++ b/crates/kumquat-coordination/src/dispatch/slot.rs
@@ -15,6 +15,8 @@
     /// Attempts whose end is not known yet, aborted ones included.
     pub(crate) running: u32,
     pub(crate) takes_work: bool,
+    /// Whether the bundle no longer lists it; it is kept until its attempts have ended.
+    pub(crate) is_removed: bool,
     pub(crate) boot: Option<u64>,
     pub(crate) ramp: Ramp,
     pub(crate) outlier: Outlier,
--- /dev/null
+++ b/crates/kumquat-coordination/tests/balance.rs
@@ -0,0 +1,115 @@
+//! Guards the choice of a dispatch group at the entry.
+
+use std::time::Duration;
+
+use kumquat_coordination::balance::{Balance, Candidate, Load, Options};
+use kumquat_state::bundle::Class;
+use kumquat_state::clock::Instant;
+use kumquat_state::ident::DataCentre;
+
+const SEED: u64 = 5;
+
+fn centre(number: usize) -> DataCentre {
+    format!("centre-{number}").parse().expect("a valid name")
+}
+
+fn balance(seed: u64) -> Balance {
+    let mut balance = Balance::new(centre(0), Options::default(), seed);
+    let candidates: Vec<Candidate> = (0..3)
+        .map(|number| Candidate {
+            data_centre: centre(number),
+            distance: Duration::from_micros(if number == 0 { 80 } else { 500 }),
+        })
+        .collect();
+    balance.set_groups(&candidates);
+    balance
+}
+
+fn load(ordinary: u32) -> Load {
+    Load {
+        ordinary,
+        running: 4,
+        slots: 4,
+        service_time: Duration::from_millis(4),
+        ..Load::default()
+    }
+}
+
+/// Reports a load for each group, as if a request of each had just been answered.
+fn report(balance: &mut Balance, now: Instant, ordinary: [u32; 3]) {
+    for (number, ordinary) in ordinary.into_iter().enumerate() {
+        balance.on_answer(now, &centre(number), Class::Ordinary, Some(load(ordinary)));
+    }
+}
+
+/// Counts the choices of many entries that have the same reports and decide once each.
+fn choices(now: Instant, class: Class, ordinary: [u32; 3]) -> [usize; 3] {
+    let mut counts = [0; 3];
+    for entry in 0..300 {
+        let mut balance = balance(SEED + entry);
+        report(&mut balance, now, ordinary);
+        let chosen = balance.choose(now, class).expect("a group");
+        for (number, count) in counts.iter_mut().enumerate() {
+            *count += usize::from(chosen == centre(number));
+        }
+    }
+    counts
+}
+
+/// Guards against an entry that leaves its data centre without need.
+#[test]
+fn equal_waits_prefer_the_own_data_centre() {
+    let [own, first, second] = choices(Instant::from_millis(9), Class::Ordinary, [0, 0, 0]);
+
+    assert!(own > first && own > second, "{own} {first} {second}");
+}
+
+/// Guards against entries that send to a busy group, and against all of them choosing the same one.
+#[test]
+fn longest_wait_is_avoided_and_choices_are_spread() {
+    let [own, first, second] = choices(Instant::from_millis(9), Class::Ordinary, [40, 8, 0]);
+
+    assert_eq!(own, 0);
+    assert!(first >= 50 && second > first, "{first} {second}");
+}
+
+/// Guards against urgent requests that are sent elsewhere because of ordinary ones that they overtake.
+#[test]
+fn ordinary_queue_does_not_move_urgent_requests() {
+    let quiet = choices(Instant::from_millis(9), Class::Urgent, [0, 0, 0]);
+    let busy = choices(Instant::from_millis(9), Class::Urgent, [90, 0, 0]);
+
+    assert_eq!(quiet, busy);
+}
+
+/// Guards against requests to a group that has just failed, and against a group that is avoided for ever.
+#[test]
+fn failed_group_is_avoided_for_a_while() {
+    let mut balance = balance(SEED);
+    let now = Instant::from_millis(9);
+    report(&mut balance, now, [0, 0, 0]);
+    let chosen_of = |balance: &mut Balance, now| {
+        (0..50)
+            .filter(|_| balance.choose(now, Class::Urgent) == Some(centre(0)))
+            .count()
+    };
+
+    balance.on_failure(now, &centre(0), Class::Urgent);
+    let soon = chosen_of(&mut balance, now + Duration::from_millis(400));
+    let later = chosen_of(&mut balance, now + Duration::from_millis(600));
+
+    assert_eq!(soon, 0);
+    assert!(later > 0);
+}
+
+/// Guards against an entry that refuses although a failed group may be back.
+#[test]
+fn all_groups_failed_still_gives_a_choice() {
+    let mut balance = balance(SEED);
+    let now = Instant::from_millis(9);
+    for number in 0..3 {
+        balance.on_failure(now, &centre(number), Class::Urgent);
+    }
+
+    assert!(balance.choose(now, Class::Urgent).is_some());
+}
--- a/crates/kumquat-coordination/tests/dispatch_properties.rs
+++ b/crates/kumquat-coordination/tests/dispatch_properties.rs
@@ -130,6 +130,16 @@
                 let list = upstreams(self.servers.len(), draining);
                 self.group.set_upstreams(self.now, &list, &mut self.out);
             }
+            13 if choice % 16 == 2 => {
+                let removed = pick / 16 % self.servers.len();
+                let mut list = upstreams(self.servers.len(), None);
+                list.remove(removed);
+                for (number, server) in self.servers.iter_mut().enumerate() {
+                    server.takes_work = removed != number;
+                }
+                self.group.set_upstreams(self.now, &list, &mut self.out);
+                self.forget_if_idle(removed);
+            }
             _ => {
                 let passed = Duration::from_micros(u64::from(choice % 4_000));
                 self.now = self.now + passed;
@@ -139,6 +149,21 @@
         self.check();
     }
 
+    /// A removed upstream without attempts is forgotten, so that it is a new, cold one when it comes back.
+    fn forget_if_idle(&mut self, number: usize) {
+        self.check();
+        let is_running = self
+            .attempts
+            .iter()
+            .any(|attempt| attempt.upstream == number && attempt.end == End::Running);
+        if !is_running {
+            let server = &mut self.servers[number];
+            server.is_cold = true;
+            server.cold_starts += 1;
+            server.completed = 0;
+        }
+    }
+
     fn arrive(&mut self, choice: u16) {
         let class = match choice % 3 {
             0 => Class::Urgent,
