Remove a lost VM before its replacement joins the cell

Cause: the planner swapped a fenced incarnation for its successor in one step, which Authority::may_change always refuses because it counts as two changes, so a VM that was restarted or replaced under its name never became a member again. Change: the fenced incarnation leaves first, also from a cell of three when another run of it is live, and the new run joins in a later revision. Conclusion: replacement at the same address works; a cell of three has two members for about a second, and needs both survivors as it did before.

--- a/crates/kumquat-coordination/src/coordinator/members.rs
+++ b/crates/kumquat-coordination/src/coordinator/members.rs
@@ -20,19 +20,21 @@
     let view = draft.view;
     let members = &view.ledger.membership.members;
     for member in members.iter().filter(|member| is_fenced(view, member)) {
-        let successor = view
+        let is_replaced = view
             .live
             .iter()
-            .find(|live| live.vm == member.vm && live.incarnation > member.incarnation);
-        if successor.is_none() && members.len() <= MEMBERS_MIN {
+            .any(|live| live.vm == member.vm && live.incarnation > member.incarnation);
+        // A lost VM counts towards the size of the cell until another run of it waits to join. Its place must be empty
+        // first, because the membership never changes by more than one incarnation at a time.
+        if !is_replaced && members.len() <= MEMBERS_MIN {
             continue;
         }
-        let cause = if successor.is_some() {
+        let cause = if is_replaced {
             Cause::Replaced
         } else {
             Cause::Fenced
         };
-        if change(draft, &member.vm, successor, cause) {
+        if change(draft, &member.vm, None, cause) {
             return;
         }
     }
