Test the loss, replacement and planned stop of VMs

Change: kumquat-local can run each process in its own runtime, which can be paused and ended, put forwarders between VMs that hold or close links, start VMs late, and record what a steady load gets; tests kill dispatch processes, entries and VMs, replace a VM and stop each in turn.

--- a/crates/kumquat-local/src/deployment.rs
+++ b/crates/kumquat-local/src/deployment.rs
@@ -1,9 +1,10 @@
 //! The `deployment` module provides a running local deployment.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::time::Duration;
 
-use eyre::{Result, bail};
+use eyre::{Result, bail, eyre};
 use slog::Logger;
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
@@ -16,6 +17,7 @@
 use kumquat_state::ident::{self, Version};
 use kumquat_state::secret::{Key, Pepper};
 
+use crate::network::Network;
 use crate::operator::Operator;
 use crate::shape::{self, Shape};
 use crate::vm::{Options, PEPPER, Vm, loopback};
@@ -23,6 +25,23 @@
 /// Slots of the key space of a keyed service.
 const KEY_SLOTS: u32 = 1_024;
 
+/// Ports of dispatch processes, below those that systems hand out for outgoing connections.
+const RESERVED_PORTS: Range<u16> = 10_000..30_000;
+
+/// Attempts to find a free port.
+const RESERVE_TRIES: u32 = 100;
+
+/// Means of a deployment to make its processes fail.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Setup {
+    /// Whether each process has a runtime of its own, so that it can be paused and killed.
+    pub separate: bool,
+    /// Whether the links between VMs lead through forwarders, so that they can be cut.
+    pub switched: bool,
+    /// Number of VMs, the last ones, that are known to the others but do not run yet.
+    pub late: usize,
+}
+
 /// A running deployment.
 #[derive(Debug)]
 pub struct Deployment {
@@ -34,6 +53,8 @@
     pub observations: Observations,
     /// The VMs.
     pub vms: Vec<Vm>,
+    /// The links between the VMs, if the setup asks for them.
+    pub network: Network,
     /// The operator.
     pub operator: Operator,
     /// The bundle that was submitted last.
@@ -49,6 +70,15 @@
     ///
     /// Returns an error if something can't be started or does not serve in time.
     pub async fn open(shape: &Shape, log: &Logger) -> Result<Self> {
+        Self::open_with(shape, Setup::default(), log).await
+    }
+
+    /// Starts all processes with the means of this setup to make them fail, and waits until they serve.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if something can't be started or does not serve in time.
+    pub async fn open_with(shape: &Shape, setup: Setup, log: &Logger) -> Result<Self> {
         let store = store::bind(loopback(), store::Options::default()).await?;
         let observations = Observations::new(clock::now());
         let mut bundle = skeleton(shape)?;
@@ -80,12 +110,13 @@
 
         let operator = Operator::open(&store.url())?;
         operator.submit(&bundle).await?;
-        let vms = start_vms(shape, &store, &operator, log).await?;
+        let (vms, network) = start_vms(shape, setup, &store, &operator, log).await?;
         let deployment = Self {
             store,
             upstreams,
             observations,
             vms,
+            network,
             operator,
             bundle,
             keys,
@@ -137,10 +168,16 @@
         }
     }
 
+    /// Returns the addresses of all entries that run.
+    #[must_use]
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.vms.iter().filter_map(Vm::address).collect()
+    }
+
     /// Returns the address of the entry of a VM that serves callers.
     #[must_use]
     pub fn entry(&self, number: usize) -> Option<SocketAddr> {
-        let running: Vec<SocketAddr> = self.vms.iter().filter_map(Vm::address).collect();
+        let running = self.entries();
         running.get(number % running.len().max(1)).copied()
     }
 
@@ -301,23 +338,42 @@
     format!("{}-{:02}", service.name, number + 1)
 }
 
+/// Binds a port that the system gives to nobody else, so that it is still free when a killed process starts again.
+async fn reserve() -> Result<TcpListener> {
+    let mut bound = Err(eyre!("no port was tried"));
+    for _ in 0..RESERVE_TRIES {
+        let port = rand::random_range(RESERVED_PORTS);
+        match TcpListener::bind((loopback().ip(), port)).await {
+            Ok(listener) => return Ok(listener),
+            Err(error) => bound = Err(error.into()),
+        }
+    }
+    bound
+}
+
 async fn start_vms(
     shape: &Shape,
+    setup: Setup,
     store: &Store,
     operator: &Operator,
     log: &Logger,
-) -> Result<Vec<Vm>> {
+) -> Result<(Vec<Vm>, Network)> {
     // The peers have to be known before any of them starts, so the ports are found first.
     let mut peers: Vec<(ident::Vm, SocketAddr)> = Vec::new();
     let mut reserved = Vec::new();
     for number in 0..shape.vms {
-        let listener = TcpListener::bind(loopback()).await?;
+        let listener = reserve().await?;
         peers.push((
             format!("vm-{}", number + 1).parse()?,
             listener.local_addr()?,
         ));
         reserved.push(listener);
     }
+    let network = if setup.switched {
+        Network::open(&peers).await?
+    } else {
+        Network::default()
+    };
     drop(reserved);
     let mut vms = Vec::new();
     for (number, (name, dispatch)) in peers.iter().enumerate() {
@@ -326,12 +382,18 @@
             name: name.clone(),
             data_centre: centre.parse()?,
             dispatch: *dispatch,
-            peers: peers.clone(),
+            advertise: network.advertised(number),
+            separate: setup.separate,
+            peers: network.peers(number, &peers),
             store: store.url(),
             trust: operator.trust()?,
             log: log.new(slog::o!("vm" => name.as_str().to_owned())),
         };
-        vms.push(Vm::open(options).await?);
+        let mut vm = Vm::new(options);
+        if number + setup.late < shape.vms {
+            vm.start().await?;
+        }
+        vms.push(vm);
     }
-    Ok(vms)
+    Ok((vms, network))
 }
