Bound what callers, upstreams and peers can hold open

Cause: poem keeps a handler running after its caller has hung up, heads had no time limit, the number of connections was unbounded, a silent link between entry and dispatch stayed open for minutes, and the task that sent a request's body stayed blocked on its window after the request had ended.

Conclusion: the limits are in place and documented where they are defined.

--- a/crates/kumquat-dispatch/src/group/attempt.rs
+++ b/crates/kumquat-dispatch/src/group/attempt.rs
@@ -1,9 +1,11 @@
 //! The `attempt` module provides one try of a request at one upstream.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use kumquat_coordination::dispatch::Outcome;
@@ -15,6 +17,14 @@
 use super::request::Responder;
 use crate::permit::Permit;
 
+/// Longest pause within the body of an answer, on the side of the upstream as well as on that of the caller.
+const PAUSE: Duration = Duration::from_secs(5);
+
+/// Largest sum of an answer's header names and values in bytes.
+///
+/// It stays far below the largest frame of a link, which an oversized message would end with all its requests.
+const HEADER_LIMIT: usize = 64 * 1024;
+
 /// What a task reports to its group.
 #[derive(Debug)]
 pub enum Ended {
@@ -91,6 +101,9 @@
             Ok(answer) => answer,
             Err(failure) => return outcome_of(&failure),
         };
+        if !is_usable(&answer) {
+            return Outcome::Broken;
+        }
         let started = Ended::Started {
             attempt: self.number,
             boot: answer.clock().map(|clock| clock.boot),
@@ -105,6 +118,17 @@
     }
 }
 
+/// Returns whether an answer can be passed on.
+fn is_usable(answer: &Answer) -> bool {
+    let size: usize = answer
+        .headers()
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum();
+    // A switch of protocols was never asked for.
+    !answer.status().is_informational() && size <= HEADER_LIMIT
+}
+
 /// Streams the answer to the caller.
 async fn deliver(answer: &mut Answer, responder: Responder, load: wire::Load) -> Outcome {
     let status = answer.status();
@@ -130,10 +154,18 @@
     }
 
     loop {
-        match answer.chunk().await {
+        let chunk = timeout(PAUSE, answer.chunk()).await;
+        match chunk.unwrap_or(Err(Failure::TimedOut { stage: "the body" })) {
             Ok(Some(part)) => {
-                if responder.outgoing.send(part).await.is_err() {
-                    return Outcome::Broken;
+                let sent = timeout(PAUSE, responder.outgoing.send(part));
+                match sent.await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(_)) => return Outcome::Broken,
+                    Err(_) => {
+                        // A caller that reads nothing must not hold the upstream's slot.
+                        responder.outgoing.cancel().await;
+                        return completed;
+                    }
                 }
             }
             Ok(None) => {
--- a/crates/kumquat-dispatch/src/server.rs
+++ b/crates/kumquat-dispatch/src/server.rs
@@ -12,7 +12,7 @@
 use poem::Server;
 use poem::listener::{Acceptor, Listener, TcpAcceptor, TcpListener};
 use slog::{Logger, info, warn};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
@@ -21,7 +21,7 @@
 use kumquat_state::bundle::envelope::Trust;
 use kumquat_state::ident::{DataCentre, Vm};
 use kumquat_state::ledger::Holder;
-use kumquat_transport::link;
+use kumquat_transport::link::{self, Fault};
 
 use crate::admin::{Admin, View};
 use crate::audit::Trail;
@@ -34,6 +34,11 @@
 /// Time between two looks at whether all roles have been handed over.
 const HANDOVER_POLL: Duration = Duration::from_millis(20);
 
+/// Most handshakes that run at once; each ends within a second, and further connections are closed at once.
+///
+/// A cell and the entries of a data centre that all return at once stay well below it.
+const HANDSHAKES: usize = 256;
+
 /// What a dispatch process needs to start.
 #[derive(Debug)]
 pub struct Options {
@@ -423,6 +428,7 @@
     events: mpsc::Sender<Event>,
     ended: CancellationToken,
 ) {
+    let handshakes = Arc::new(Semaphore::new(HANDSHAKES));
     loop {
         let pending = tokio::select! {
             () = ended.cancelled() => return,
@@ -434,11 +440,20 @@
             continue;
         };
         let (context, events, ended) = (context.clone(), events.clone(), ended.clone());
+        let rejected = context.metrics.rejected_messages.clone();
+        let reject = move |kind| rejected.with_label_values(&[kind]).inc();
+        let Ok(permit) = Arc::clone(&handshakes).try_acquire_owned() else {
+            reject("too-many-handshakes");
+            continue;
+        };
         tokio::spawn(async move {
-            let Ok(link) = pending.open().await else {
-                let rejected = &context.metrics.rejected_messages;
-                return rejected.with_label_values(&["handshake"]).inc();
+            let link = match pending.open().await {
+                Ok(link) => link,
+                Err(error) => {
+                    return reject(Fault::of(&error).map_or("handshake", Fault::as_str));
+                }
             };
+            drop(permit);
             let sender = link.sender.clone();
             let serving = async {
                 match link.peer.program {
@@ -450,6 +465,9 @@
                 () = ended.cancelled() => sender.close(),
                 () = serving => {}
             }
+            if let Some(fault) = sender.fault() {
+                reject(fault.as_str());
+            }
         });
     }
 }
--- a/crates/kumquat-entry/src/answer.rs
+++ b/crates/kumquat-entry/src/answer.rs
@@ -18,6 +18,9 @@
 /// Header that says whether a refused request may have run.
 pub const OUTCOME_HEADER: &str = "kumquat-outcome";
 
+/// Reason of refusals for too many failed caller keys; they also close the connection.
+const KEY_FAILURES: &str = "caller-key-failures";
+
 /// A refusal by the entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -67,6 +70,19 @@
         }
     }
 
+    /// Creates the refusal for an address with too many failed caller keys.
+    #[must_use]
+    pub const fn key_failures(retry_after: Duration) -> Self {
+        Self {
+            status: StatusCode::TOO_MANY_REQUESTS,
+            ..Self::later(
+                KEY_FAILURES,
+                "too many requests of this address had no valid caller key",
+                retry_after,
+            )
+        }
+    }
+
     /// Creates the refusal that follows from the last failed try.
     #[must_use]
     pub fn from_try(reason: Reason, may_have_run: bool, retry_after: Duration) -> Self {
@@ -107,6 +123,9 @@
             // The header counts whole seconds, the body is exact.
             response = response.header("retry-after", millis.div_ceil(1_000).to_string());
         }
+        if self.reason == KEY_FAILURES {
+            response = response.header("connection", "close");
+        }
         response.body(body)
     }
 }
--- a/crates/kumquat-entry/src/body.rs
+++ b/crates/kumquat-entry/src/body.rs
@@ -2,14 +2,13 @@
 //!
 //! The first part is kept so that a request can be tried again; a larger body streams and can't.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use futures_util::stream::BoxStream;
 use poem::Body;
+use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use kumquat_transport::stream::Outgoing;
@@ -17,9 +16,6 @@
 /// Bytes of a body that are kept for another try.
 const REPLAY_LIMIT: usize = 64 * 1024;
 
-/// Longest pause of a caller within its body.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Why a body can't be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Problem {
@@ -37,6 +33,7 @@
     rest: Option<BoxStream<'static, std::io::Result<Bytes>>>,
     read: usize,
     limit: usize,
+    pause: Duration,
 }
 
 impl std::fmt::Debug for CallerBody {
@@ -54,21 +51,16 @@
     /// # Errors
     ///
     /// Returns a [`Problem`] if the body is too large, breaks off or comes too slowly.
-    pub async fn read(body: Body, limit: usize) -> Result<Self, Problem> {
+    pub async fn read(body: Body, limit: usize, pause: Duration) -> Result<Self, Problem> {
         if body.is_empty() {
-            return Ok(Self {
-                first: Bytes::new(),
-                rest: None,
-                read: 0,
-                limit,
-            });
+            return Self::whole(Bytes::new(), limit, pause);
         }
         let mut rest = body.into_bytes_stream().boxed();
         let mut first = BytesMut::new();
         while first.len() < REPLAY_LIMIT {
-            match next(&mut rest).await? {
+            match next(&mut rest, pause).await? {
                 Some(part) => first.extend_from_slice(&part),
-                None => return Self::whole(first.freeze(), limit),
+                None => return Self::whole(first.freeze(), limit, pause),
             }
             if first.len() > limit {
                 return Err(Problem::TooLarge);
@@ -79,10 +71,11 @@
             first: first.freeze(),
             rest: Some(rest),
             limit,
+            pause,
         })
     }
 
-    fn whole(first: Bytes, limit: usize) -> Result<Self, Problem> {
+    fn whole(first: Bytes, limit: usize, pause: Duration) -> Result<Self, Problem> {
         if first.len() > limit {
             return Err(Problem::TooLarge);
         }
@@ -91,6 +84,7 @@
             first,
             rest: None,
             limit,
+            pause,
         })
     }
 
@@ -108,21 +102,27 @@
 
     /// Sends the body; a body that streams is sent by a task of its own.
     ///
-    /// The returned flag is set if the rest of the body turned out too large.
-    pub async fn send(&mut self, outgoing: Outgoing) -> Arc<AtomicBool> {
-        let too_large = Arc::new(AtomicBool::new(false));
+    /// The returned receiver gets the problem if the rest of the body can't be used.
+    pub async fn send(&mut self, outgoing: Outgoing) -> oneshot::Receiver<Problem> {
+        let (sender, problem) = oneshot::channel();
         // A failure shows at the answer as well, which is where it is handled.
         if outgoing.send(self.first.clone()).await.is_err() {
-            return too_large;
+            return problem;
         }
         match self.rest.take() {
             None => drop(outgoing.finish().await),
             Some(rest) => {
                 let room = self.limit.saturating_sub(self.read);
-                tokio::spawn(pump(rest, outgoing, room, Arc::clone(&too_large)));
+                let pause = self.pause;
+                tokio::spawn(async move {
+                    if let Err(problem) = pump(rest, outgoing, room, pause).await {
+                        // A request that has been answered meanwhile needs no body any more.
+                        let _answered = sender.send(problem);
+                    }
+                });
             }
         }
-        too_large
+        problem
     }
 }
 
@@ -131,30 +131,34 @@
     mut rest: BoxStream<'static, std::io::Result<Bytes>>,
     outgoing: Outgoing,
     mut room: usize,
-    too_large: Arc<AtomicBool>,
-) {
+    pause: Duration,
+) -> Result<(), Problem> {
     loop {
-        match next(&mut rest).await {
+        let problem = match next(&mut rest, pause).await {
             Ok(Some(part)) if part.len() <= room => {
                 room -= part.len();
                 if outgoing.send(part).await.is_err() {
-                    return;
+                    return Ok(());
                 }
+                continue;
             }
-            Ok(Some(_)) => {
-                too_large.store(true, Ordering::Release);
-                return outgoing.cancel().await;
+            Ok(Some(_)) => Problem::TooLarge,
+            Ok(None) => {
+                drop(outgoing.finish().await);
+                return Ok(());
             }
-            Ok(None) => return drop(outgoing.finish().await),
-            Err(_) => return outgoing.cancel().await,
-        }
+            Err(problem) => problem,
+        };
+        outgoing.cancel().await;
+        return Err(problem);
     }
 }
 
 async fn next(
     rest: &mut BoxStream<'static, std::io::Result<Bytes>>,
+    pause: Duration,
 ) -> Result<Option<Bytes>, Problem> {
-    match timeout(IDLE_TIMEOUT, rest.next()).await {
+    match timeout(pause, rest.next()).await {
         Ok(Some(Ok(part))) => Ok(Some(part)),
         Ok(Some(Err(_))) => Err(Problem::Broken),
         Ok(None) => Ok(None),
--- a/crates/kumquat-entry/src/caller.rs
+++ b/crates/kumquat-entry/src/caller.rs
@@ -6,7 +6,7 @@
 use kumquat_protocol::wire::Header;
 use kumquat_state::bundle::{Access, Bundle, Route};
 use kumquat_state::ident;
-use kumquat_state::secret::{PREFIX, Pepper};
+use kumquat_state::secret::{PREFIX, Pepper, TEXT_LENGTH};
 
 /// Header that names the team on internal routes.
 pub const TEAM_HEADER: &str = "kumquat-team";
@@ -150,12 +150,22 @@
     value.strip_prefix("Bearer ").map(str::trim)
 }
 
-/// Returns whether the key also stands in the target or in a header that would be forwarded.
+/// Returns whether the key, or anything of the form of a caller key, also stands in the target or in another header.
 fn is_exposed(key: &str, headers: &HeaderMap, target: &str) -> bool {
     let digits = key.strip_prefix(PREFIX).unwrap_or(key).as_bytes();
-    let contains = |bytes: &[u8]| bytes.windows(digits.len()).any(|part| part == digits);
+    let contains = |bytes: &[u8]| {
+        let own = bytes.windows(digits.len()).any(|part| part == digits);
+        own || bytes.windows(TEXT_LENGTH).any(is_key)
+    };
     contains(target.as_bytes())
         || headers
             .iter()
             .any(|(name, value)| name != AUTHORIZATION && contains(value.as_bytes()))
 }
+
+/// Returns whether the bytes have the form of a caller key, which may be that of another team.
+fn is_key(bytes: &[u8]) -> bool {
+    bytes
+        .strip_prefix(PREFIX.as_bytes())
+        .is_some_and(|digits| digits.iter().all(u8::is_ascii_hexdigit))
+}
--- a/crates/kumquat-entry/src/documents.rs
+++ b/crates/kumquat-entry/src/documents.rs
@@ -36,11 +36,18 @@
 #[derive(Debug, Default)]
 pub struct Assembly {
     version: u64,
+    parts: u32,
     next: u32,
     bytes: BytesMut,
 }
 
 impl Assembly {
+    /// Returns the number of bytes that are kept.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        self.bytes.len()
+    }
+
     /// Adds a part and returns the whole document with its last one.
     ///
     /// # Errors
@@ -49,16 +56,25 @@
     pub fn push(&mut self, document: &Document) -> Result<Option<Vec<u8>>> {
         if document.part == 0 {
             self.version = document.version;
+            self.parts = document.parts;
             self.next = 0;
             self.bytes.clear();
         }
-        let expected = document.version == self.version && document.part == self.next;
+        let expected = document.version == self.version
+            && document.parts == self.parts
+            && document.part == self.next;
         if !expected || document.parts > PART_LIMIT || document.part >= document.parts {
+            // What has come so far is of no use without the missing part.
+            *self = Self::default();
             return Err(kumquat_protocol::Error::malformed("document part out of order").into());
         }
         self.bytes.extend_from_slice(&document.data);
         self.next += 1;
-        Ok((self.next == document.parts).then(|| self.bytes.split().to_vec()))
+        if self.next < self.parts {
+            return Ok(None);
+        }
+        // A further part has to begin a new document.
+        Ok(Some(std::mem::take(self).bytes.to_vec()))
     }
 }
 
--- a/crates/kumquat-entry/src/gateway.rs
+++ b/crates/kumquat-entry/src/gateway.rs
@@ -6,7 +6,9 @@
 
 use poem::http::{HeaderValue, Method, StatusCode};
 use poem::{Endpoint, Request, Response};
+use tokio::time::timeout;
 
+use kumquat_protocol::wire::Outcome;
 use kumquat_state::bundle::{Bundle, Kind, Route, Service};
 use kumquat_state::clock;
 use kumquat_state::hash;
@@ -15,8 +17,10 @@
 use crate::admission::Admission;
 use crate::answer::{REQUEST_HEADER, Refusal};
 use crate::body::{CallerBody, Problem};
-use crate::caller::{self, Side};
+use crate::caller::{self, Rejection, Side};
 use crate::config::Config;
+use crate::failures::Failures;
+use crate::listener::{self, Answering, Caller, Connections};
 use crate::metrics::Metrics;
 use crate::router::{Call, CallHead, Router};
 
@@ -26,6 +30,9 @@
 /// When callers are told to come back if too many requests are running.
 const BUSY_RETRY: Duration = Duration::from_millis(100);
 
+/// Bytes of a head beyond those of its target and its headers: method, version, separators and line ends.
+const HEAD_OVERHEAD: usize = 1024;
+
 /// Bounds on what callers may send.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -37,6 +44,28 @@
     pub target: usize,
     /// Most requests that run at once.
     pub running: i64,
+    /// Most connections that are open at once on one listener.
+    pub connections: usize,
+    /// Longest time that a head may take from its first byte on.
+    pub head_time: Duration,
+    /// Longest pause within the body of a request or of an answer.
+    pub body_pause: Duration,
+    /// Longest time between two requests on a connection.
+    pub idle_time: Duration,
+}
+
+impl Limits {
+    /// Returns the bounds that concern connections.
+    #[must_use]
+    pub const fn connections(&self) -> listener::Limits {
+        listener::Limits {
+            connections: self.connections,
+            head: self.headers + self.target + HEAD_OVERHEAD,
+            head_time: self.head_time,
+            idle_time: self.idle_time,
+            write_time: self.body_pause,
+        }
+    }
 }
 
 impl Default for Limits {
@@ -46,6 +75,10 @@
             headers: 16 * 1024,
             target: 4 * 1024,
             running: 20_000,
+            connections: 20_000,
+            head_time: Duration::from_secs(5),
+            body_pause: Duration::from_secs(5),
+            idle_time: Duration::from_mins(1),
         }
     }
 }
@@ -63,6 +96,8 @@
     pub pepper: Pepper,
     /// Bounds.
     pub limits: Limits,
+    /// Failed caller keys by address.
+    pub failures: Failures,
     /// Counters.
     pub metrics: Metrics,
     /// Requests that are running.
@@ -74,6 +109,7 @@
 pub struct Gateway {
     shared: Arc<Shared>,
     side: Side,
+    connections: Arc<Connections>,
 }
 
 /// Counts a running request for as long as it lives; it also notices callers that hang up.
@@ -106,11 +142,21 @@
 impl Gateway {
     /// Creates the endpoint of one listener.
     #[must_use]
-    pub const fn new(shared: Arc<Shared>, side: Side) -> Self {
-        Self { shared, side }
+    pub const fn new(shared: Arc<Shared>, side: Side, connections: Arc<Connections>) -> Self {
+        Self {
+            shared,
+            side,
+            connections,
+        }
     }
 
-    async fn answer(&self, request: Request, id: u128) -> Result<Response, Refusal> {
+    async fn answer(
+        &self,
+        request: Request,
+        id: u128,
+        caller: Option<&Arc<Caller>>,
+        answering: Option<Answering>,
+    ) -> Result<Response, Refusal> {
         let shared = &*self.shared;
         if shared.running.load(Ordering::Acquire) > shared.limits.running {
             return Err(Refusal::later(
@@ -128,7 +174,7 @@
 
         let arrival = clock::now();
         let call = self
-            .call(&bundle, (route, service), arrival, request, id)
+            .call(&bundle, (route, service), arrival, request, (id, caller))
             .await?;
         shared
             .admission
@@ -137,7 +183,7 @@
             .map_err(Refusal::over_rate)?;
 
         let name = call.head.service.name.clone();
-        let result = shared.router.route(call).await;
+        let result = shared.router.route(call, caller, answering).await;
         let outcome = if result.is_ok() {
             "answered"
         } else {
@@ -160,7 +206,7 @@
         (route, service): (&Route, &Service),
         arrival: clock::Instant,
         request: Request,
-        id: u128,
+        (id, caller): (u128, Option<&Arc<Caller>>),
     ) -> Result<Call, Refusal> {
         let shared = &*self.shared;
         // Without word from the cell, a withdrawn caller key could not be told from a valid one.
@@ -180,7 +226,7 @@
             &parts.headers,
             target,
         )
-        .inspect_err(|_| shared.metrics.rejected_keys.inc())?;
+        .map_err(|rejection| self.reject(rejection, caller))?;
 
         let key = match service.kind {
             Kind::Pool => None,
@@ -190,9 +236,14 @@
                     .ok_or_else(no_routing_key)?,
             ),
         };
-        let body = CallerBody::read(body, shared.limits.body)
+        let deadline = arrival + service.deadline;
+        let limits = &shared.limits;
+        // A caller that sends a little now and then must not hold its request longer than its answer may take.
+        let reading = CallerBody::read(body, limits.body, limits.body_pause);
+        let body = timeout(clock::now().until(deadline), reading)
             .await
-            .map_err(refuse_body)?;
+            .unwrap_or(Err(Problem::Slow))
+            .map_err(|problem| refuse_body(problem, Outcome::NotRun))?;
         let head = CallHead {
             id: id.to_be_bytes(),
             service: service.clone(),
@@ -200,7 +251,7 @@
             key,
             class: route.class,
             idempotent: route.idempotent || is_safe(&parts.method),
-            deadline: arrival + service.deadline,
+            deadline,
             method: parts.method.as_str().to_owned(),
             path: target.to_owned(),
             headers: caller::forwarded(&parts.headers),
@@ -208,6 +259,20 @@
         Ok(Call { head, body })
     }
 
+    /// Counts a rejected caller and bounds the failed keys of its address.
+    fn reject(&self, rejection: Rejection, caller: Option<&Arc<Caller>>) -> Refusal {
+        let shared = &*self.shared;
+        shared.metrics.rejected_keys.inc();
+        let is_guess = rejection == Rejection::Key;
+        let Some(caller) = caller.filter(|_| is_guess) else {
+            return rejection.into();
+        };
+        shared
+            .failures
+            .count(clock::now(), caller.ip())
+            .map_or_else(Refusal::key_failures, |()| rejection.into())
+    }
+
     fn check_size(&self, request: &Request) -> Result<(), Refusal> {
         let limits = &self.shared.limits;
         let headers: usize = request
@@ -241,7 +306,7 @@
             ));
         }
         if body > limits.body {
-            return Err(refuse_body(Problem::TooLarge));
+            return Err(refuse_body(Problem::TooLarge, Outcome::NotRun));
         }
         Ok(())
     }
@@ -253,7 +318,19 @@
     async fn call(&self, req: Request) -> poem::Result<Response> {
         let mut running = Running::new(&self.shared);
         let id: u128 = rand::random();
-        let result = self.answer(req, id).await;
+        let peer = req.remote_addr().as_socket_addr().copied();
+        let caller = peer.and_then(|peer| self.connections.find(peer));
+        let answering = caller.as_ref().map(Caller::begin);
+        let answer = self.answer(req, id, caller.as_ref(), answering);
+        let result = match &caller {
+            None => answer.await,
+            Some(caller) => tokio::select! {
+                biased;
+                result = answer => result,
+                // Dropping the handler cancels the request; the connection takes no answer any more.
+                () = caller.ended() => return Ok(Response::default()),
+            },
+        };
         running.answered = true;
         let mut response = result.unwrap_or_else(|refusal| {
             self.shared
@@ -295,8 +372,9 @@
     )
 }
 
-const fn refuse_body(problem: Problem) -> Refusal {
-    match problem {
+/// Creates the refusal of a request whose body can't be used.
+pub(crate) const fn refuse_body(problem: Problem, outcome: Outcome) -> Refusal {
+    let refusal = match problem {
         Problem::TooLarge => Refusal::invalid(
             StatusCode::PAYLOAD_TOO_LARGE,
             "body-size",
@@ -312,5 +390,6 @@
             "body-slow",
             "the body came too slowly",
         ),
-    }
+    };
+    Refusal { outcome, ..refusal }
 }
--- a/crates/kumquat-entry/src/links/streams.rs
+++ b/crates/kumquat-entry/src/links/streams.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use kumquat_protocol::wire::{Answer, Body, Credit, Refusal};
 use kumquat_state::ident;
@@ -24,6 +24,8 @@
 #[derive(Debug, Default)]
 pub struct Streams {
     state: Mutex<State>,
+    // Notified when something is added.
+    busy: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -67,6 +69,8 @@
         // Numbers are taken before the lock, so a stream may come slightly out of order.
         let index = state.open.partition_point(|other| other.number < number);
         state.open.insert(index, open);
+        drop(state);
+        self.busy.notify_one();
         Ok(())
     }
 
@@ -74,10 +78,25 @@
     pub fn remove(&self, number: u64) {
         let mut state = self.lock();
         if let Ok(index) = state.find(number) {
-            state.open.remove(index);
+            // The task that sends the request's body may still wait for its window.
+            state.open.remove(index).credit.cancel();
+        }
+    }
+
+    /// Waits until something is expected from the peer.
+    pub async fn busy(&self) {
+        while self.is_idle() {
+            self.busy.notified().await;
         }
     }
 
+    /// Returns whether nothing is expected from the peer.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        let state = self.lock();
+        state.open.is_empty() && state.credits.iter().all(|(_, _, reply)| reply.is_closed())
+    }
+
     /// Adds a question to a team's home.
     ///
     /// # Errors
@@ -96,6 +115,8 @@
         // An earlier question whose asker has given up is of no use any more.
         state.credits.retain(|(_, _, reply)| !reply.is_closed());
         state.credits.push((team, sequence, reply));
+        drop(state);
+        self.busy.notify_one();
         Ok(())
     }
 
--- a/crates/kumquat-entry/src/main.rs
+++ b/crates/kumquat-entry/src/main.rs
@@ -71,6 +71,7 @@
         limits: Limits {
             body: entry.body_limit,
             headers: entry.header_limit,
+            connections: entry.connections,
             running: i64::try_from(entry.connections).unwrap_or(i64::MAX),
             ..Limits::default()
         },
--- a/crates/kumquat-entry/src/metrics.rs
+++ b/crates/kumquat-entry/src/metrics.rs
@@ -19,6 +19,14 @@
     pub refusals: IntCounterVec,
     /// Requests whose caller key is unknown, withdrawn or malformed.
     pub rejected_keys: IntCounter,
+    /// Open connections of callers.
+    pub connections: IntGauge,
+    /// Connections of callers that the entry closed because of a limit, by kind.
+    pub closed_connections: IntCounterVec,
+    /// Connections to dispatch processes that were closed because nothing arrived on them.
+    pub silent_links: IntCounter,
+    /// Answers that broke off before they were complete.
+    pub broken_answers: IntCounter,
     /// Tries beyond the first.
     pub retries: IntCounter,
     /// Messages for streams that had ended.
@@ -70,6 +78,20 @@
                 "kumquat_entry_rejected_keys_total",
                 "Requests with an unknown, withdrawn or malformed caller key.",
             ),
+            connections: gauge("kumquat_entry_connections", "Open connections of callers."),
+            closed_connections: vector(
+                "kumquat_entry_closed_connections_total",
+                "Connections of callers that the entry closed because of a limit, by kind.",
+                &["kind"],
+            ),
+            silent_links: counter(
+                "kumquat_entry_silent_links_total",
+                "Connections to dispatch processes that were closed because nothing arrived on them.",
+            ),
+            broken_answers: counter(
+                "kumquat_entry_broken_answers_total",
+                "Answers that broke off before they were complete.",
+            ),
             retries: counter("kumquat_entry_retries_total", "Tries beyond the first."),
             late_messages: counter(
                 "kumquat_entry_late_messages_total",
@@ -107,10 +129,14 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 10] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 14] = [
             Box::new(self.requests.clone()),
             Box::new(self.refusals.clone()),
             Box::new(self.rejected_keys.clone()),
+            Box::new(self.connections.clone()),
+            Box::new(self.closed_connections.clone()),
+            Box::new(self.silent_links.clone()),
+            Box::new(self.broken_answers.clone()),
             Box::new(self.retries.clone()),
             Box::new(self.late_messages.clone()),
             Box::new(self.hung_up.clone()),
--- a/crates/kumquat-entry/src/router.rs
+++ b/crates/kumquat-entry/src/router.rs
@@ -1,12 +1,10 @@
 //! The `router` module provides the way of a request from admission to its answer, including further tries.
 
-use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use futures_util::stream;
-use poem::http::StatusCode;
-use poem::{Body, Response};
+use poem::Response;
+use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
 use kumquat_coordination::routing::{Attempts, Budget, Cause, Failure, Next};
@@ -15,14 +13,15 @@
 use kumquat_state::clock::{self, Instant};
 use kumquat_state::ident;
 use kumquat_state::ledger::{Ledger, Name};
-use kumquat_transport::stream::Incoming;
 
 use crate::answer::Refusal;
-use crate::body::CallerBody;
-use crate::caller;
+use crate::body::{CallerBody, Problem};
 use crate::config::Config;
-use crate::links::{Exchange, Guard, Head, Pool};
+use crate::gateway::refuse_body;
+use crate::links::{Exchange, Head, Pool};
+use crate::listener::{Answering, Caller};
 use crate::metrics::Metrics;
+use crate::streaming::{Streaming, respond};
 use crate::target::{self, Memory};
 
 /// Time that opening a link may take before the next holder is tried.
@@ -80,22 +79,41 @@
     pub budget: Mutex<Budget>,
     /// Counters.
     pub metrics: Metrics,
+    /// Longest pause within the body of an answer.
+    pub pause: Duration,
 }
 
 /// A try that failed.
 struct Failed {
     failure: Failure,
     reason: Reason,
+    // What was wrong with the caller's body, if that is why the try failed.
+    problem: Option<Problem>,
 }
 
 impl Failed {
+    const fn new(failure: Failure, reason: Reason) -> Self {
+        Self {
+            failure,
+            reason,
+            problem: None,
+        }
+    }
+
+    const fn body(problem: Problem) -> Self {
+        Self {
+            problem: Some(problem),
+            ..Self::unknown(Cause::Final, Reason::Broken)
+        }
+    }
+
     const fn not_run(cause: Cause, reason: Reason) -> Self {
         let failure = Failure {
             cause,
             may_have_run: false,
             retry_after: None,
         };
-        Self { failure, reason }
+        Self::new(failure, reason)
     }
 
     const fn unknown(cause: Cause, reason: Reason) -> Self {
@@ -104,7 +122,7 @@
             may_have_run: true,
             retry_after: None,
         };
-        Self { failure, reason }
+        Self::new(failure, reason)
     }
 }
 
@@ -123,6 +141,7 @@
                 retry_after: Some(Duration::from_millis(u64::from(refusal.retry_after_ms))),
             },
             reason: refusal.reason,
+            problem: None,
         }
     }
 }
@@ -133,7 +152,12 @@
     /// # Errors
     ///
     /// Returns the refusal for the caller.
-    pub async fn route(&self, mut call: Call) -> Result<Response, Refusal> {
+    pub async fn route(
+        &self,
+        mut call: Call,
+        caller: Option<&Arc<Caller>>,
+        answering: Option<Answering>,
+    ) -> Result<Response, Refusal> {
         self.lock_budget().deposit();
         let alternatives = match call.head.service.kind {
             Kind::Pool => u32::try_from(call.head.service.data_centres.len()).unwrap_or(1) - 1,
@@ -143,7 +167,15 @@
 
         loop {
             let failed = match self.attempt(&mut call).await {
-                Ok(response) => return Ok(response),
+                Ok((answer, exchange)) => {
+                    let streaming = Streaming {
+                        caller: caller.cloned(),
+                        answering,
+                        metrics: self.metrics.clone(),
+                        pause: self.pause,
+                    };
+                    return Ok(respond(&answer, exchange, &call.head.method, streaming));
+                }
                 Err(failed) => failed,
             };
             let replayable = call.body.is_replayable();
@@ -158,13 +190,18 @@
                 Next::GiveUp {
                     may_have_run,
                     retry_after,
-                } => return Err(Refusal::from_try(failed.reason, may_have_run, retry_after)),
+                } => {
+                    let refusal = Refusal::from_try(failed.reason, may_have_run, retry_after);
+                    return Err(failed
+                        .problem
+                        .map_or(refusal, |problem| refuse_body(problem, refusal.outcome)));
+                }
             }
             self.metrics.retries.inc();
         }
     }
 
-    async fn attempt(&self, call: &mut Call) -> Result<Response, Failed> {
+    async fn attempt(&self, call: &mut Call) -> Result<(Box<wire::Answer>, Exchange), Failed> {
         let moved = || Failed::not_run(Cause::Moved, Reason::NoOwner);
         let (bundle, ledger) = (self.config.bundle(), self.config.ledger());
         let (bundle, ledger) = bundle.zip(ledger).ok_or_else(moved)?;
@@ -183,16 +220,25 @@
                 return Err(failed);
             }
         };
-        let too_large = match exchange.outgoing.take() {
-            Some(outgoing) => Some(body.send(outgoing).await),
-            None => None,
-        };
-
         let left = clock::now().until(head.deadline) + GRACE;
-        let result = match timeout(left, exchange.head()).await {
+        let outgoing = exchange.outgoing.take();
+        let answer = async {
+            let problem = match outgoing {
+                Some(outgoing) => Some(body.send(outgoing).await),
+                None => None,
+            };
+            tokio::select! {
+                biased;
+                // The problem comes first, because the dispatch process answers the cancellation that follows from it.
+                // Once the body is sent, its sender is dropped and only the answer counts.
+                Ok(problem) = problem_of(problem) => Err(Some(problem)),
+                head = exchange.head() => head.map_err(|_closed| None),
+            }
+        };
+        let failed = match timeout(left, answer).await {
             Ok(Ok(Head::Answer(answer))) => {
                 self.balance.report(&role, answer.load);
-                return Ok(respond(&answer, exchange));
+                return Ok((answer, exchange));
             }
             Ok(Ok(Head::Refusal(refusal))) => {
                 exchange.finish();
@@ -202,17 +248,16 @@
                 }
                 Failed::from(refusal.as_ref())
             }
-            Ok(Err(_)) => {
+            // The group has done nothing wrong.
+            Ok(Err(Some(problem))) => return Err(Failed::body(problem)),
+            Ok(Err(None)) => {
                 self.memory.failed(&ledger, &role, rank);
                 Failed::unknown(Cause::Broken, Reason::PeerLost)
             }
             Err(_) => Failed::unknown(Cause::Final, Reason::Deadline),
         };
         self.balance.failed(&role);
-        if too_large.is_some_and(|flag| flag.load(Ordering::Acquire)) {
-            return Err(Failed::unknown(Cause::Final, Reason::Broken));
-        }
-        Err(result)
+        Err(failed)
     }
 
     fn data_centre(
@@ -273,37 +318,12 @@
     }
 }
 
-/// Creates the response whose body streams from the dispatch process.
-fn respond(answer: &wire::Answer, exchange: Exchange) -> Response {
-    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut response = Response::builder().status(status);
-    for (name, value) in &answer.headers {
-        if caller::is_returned(name) {
-            response = response.header(name.as_str(), value.as_ref());
-        }
-    }
-    let body = exchange
-        .into_body()
-        .map_or_else(Body::empty, |(incoming, guard)| {
-            Body::from_bytes_stream(stream::unfold(Some((incoming, guard)), next_part))
-        });
-    response.body(body)
-}
-
-type Source = Option<(Incoming, Guard)>;
-
-/// Takes the next part of an answer; an answer that breaks off ends in an error, so that the caller sees it is not whole.
-async fn next_part(source: Source) -> Option<(std::io::Result<bytes::Bytes>, Source)> {
-    let (mut incoming, mut guard) = source?;
-    match incoming.next().await {
-        Ok(Some(part)) => Some((Ok(part), Some((incoming, guard)))),
-        Ok(None) => {
-            guard.finish();
-            None
-        }
-        Err(error) => {
-            let error = std::io::Error::other(error.to_string());
-            Some((Err(error), None))
-        }
+/// Waits for a problem of the body that is being sent.
+async fn problem_of(
+    problem: Option<oneshot::Receiver<Problem>>,
+) -> Result<Problem, oneshot::error::RecvError> {
+    match problem {
+        Some(problem) => problem.await,
+        None => std::future::pending().await,
     }
 }
--- a/crates/kumquat-entry/src/server.rs
+++ b/crates/kumquat-entry/src/server.rs
@@ -1,5 +1,6 @@
 //! The `server` module provides the life cycle of an entry: running, draining, stopped.
 
+use std::convert::Infallible;
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -22,13 +23,15 @@
 use crate::caller::Side;
 use crate::config::Config;
 use crate::documents::{self, Source};
+use crate::failures::Failures;
 use crate::gateway::{Gateway, Limits, Shared};
 use crate::links::Pool;
+use crate::listener::CallerAcceptor;
 use crate::metrics::Metrics;
 use crate::router::Router;
 use crate::target::Memory;
 
-/// Time after which an idle connection of a caller is closed; it also ends callers that never complete a head.
+/// Time after which an idle connection of an operator is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// What an entry needs to start.
@@ -97,23 +100,20 @@
     ///
     /// Returns an error if an address can't be bound.
     pub async fn bind(options: Options) -> Result<Self, BindError> {
-        let public = acceptor(options.listen).await?;
+        let metrics = Metrics::new();
+        let public = callers(options.listen, &options.limits, &metrics).await?;
         let internal = match options.internal {
-            Some(address) => Some(acceptor(address).await?),
+            Some(address) => Some(callers(address, &options.limits, &metrics).await?),
             None => None,
         };
         let admin = acceptor(options.admin).await?;
         let addresses = (
-            local(&public, options.listen),
-            internal
-                .as_ref()
-                .zip(options.internal)
-                .map(|(acceptor, address)| local(acceptor, address)),
+            public.address(),
+            internal.as_ref().map(CallerAcceptor::address),
             local(&admin, options.admin),
         );
 
         let config = Arc::new(Config::default());
-        let metrics = Metrics::new();
         let draining = CancellationToken::new();
         let closing = CancellationToken::new();
         // Background tasks outlive the listeners, because running requests still need them.
@@ -132,22 +132,27 @@
         ));
         let shared = Arc::new(share(options, &config, &metrics, &ended));
 
+        let connections = Arc::clone(public.connections());
+        let gateway = Gateway::new(Arc::clone(&shared), Side::Public, connections);
         let mut servers = vec![serve(
-            public,
-            Gateway::new(Arc::clone(&shared), Side::Public),
+            Server::new_with_acceptor(public),
+            gateway,
             &closing,
             drain,
         )];
         if let Some(internal) = internal {
-            let gateway = Gateway::new(shared, Side::Internal);
-            servers.push(serve(internal, gateway, &closing, drain));
+            let connections = Arc::clone(internal.connections());
+            let gateway = Gateway::new(shared, Side::Internal, connections);
+            let server = Server::new_with_acceptor(internal);
+            servers.push(serve(server, gateway, &closing, drain));
         }
         let endpoint = Admin {
             config: Arc::clone(&config),
             metrics: metrics.clone(),
             draining: draining.clone(),
         };
-        servers.push(serve(admin, endpoint, &closing, Duration::ZERO));
+        let server = Server::new_with_acceptor(admin).idle_timeout(IDLE_TIMEOUT);
+        servers.push(serve(server, endpoint, &closing, Duration::ZERO));
 
         Ok(Self {
             address: addresses.0,
@@ -250,6 +255,7 @@
         balance: Choice::new(options.data_centre),
         budget: Mutex::new(Budget::default()),
         metrics: metrics.clone(),
+        pause: options.limits.body_pause,
     };
     Shared {
         config: Arc::clone(config),
@@ -257,11 +263,22 @@
         router,
         pepper: options.pepper,
         limits: options.limits,
+        failures: Failures::default(),
         metrics: metrics.clone(),
         running: std::sync::atomic::AtomicI64::new(0),
     }
 }
 
+async fn callers(
+    address: SocketAddr,
+    limits: &Limits,
+    metrics: &Metrics,
+) -> Result<CallerAcceptor, BindError> {
+    CallerAcceptor::bind(address, limits.connections(), metrics.clone())
+        .await
+        .map_err(|source| BindError { address, source })
+}
+
 async fn acceptor(address: SocketAddr) -> Result<TcpAcceptor, BindError> {
     TcpListener::bind(address)
         .into_acceptor()
@@ -278,18 +295,18 @@
         .unwrap_or(asked)
 }
 
-fn serve<E>(
-    acceptor: TcpAcceptor,
+fn serve<A, E>(
+    server: Server<Infallible, A>,
     endpoint: E,
     closing: &CancellationToken,
     drain: Duration,
 ) -> JoinHandle<()>
 where
+    A: Acceptor + 'static,
     E: poem::Endpoint + 'static,
 {
     let closing = closing.clone();
     tokio::spawn(async move {
-        let server = Server::new_with_acceptor(acceptor).idle_timeout(IDLE_TIMEOUT);
         let signal = closing.cancelled_owned();
         // The acceptor is bound already, and later failures concern single connections.
         drop(
--- a/crates/kumquat-local/src/vm.rs
+++ b/crates/kumquat-local/src/vm.rs
@@ -17,7 +17,7 @@
 use kumquat_transport::link;
 
 /// Secret of the cell of a local deployment.
-const CELL: [u8; 32] = [7; 32];
+pub const CELL: [u8; 32] = [7; 32];
 
 /// Digest secret of a local deployment.
 pub const PEPPER: [u8; 32] = [9; 32];
--- a/crates/kumquat-transport/src/link.rs
+++ b/crates/kumquat-transport/src/link.rs
@@ -4,6 +4,7 @@
 //! that many small messages share a segment. See `docs/design.md`, section 8.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use futures_util::stream::{SplitSink, SplitStream};
@@ -13,8 +14,8 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tokio_tungstenite::WebSocketStream;
-use tokio_tungstenite::tungstenite::Message as Packet;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::{self, Message as Packet};
 use tokio_util::sync::CancellationToken;
 
 use kumquat_protocol::frame::{LIMIT, Opener, Sealer};
@@ -59,6 +60,49 @@
 pub struct Sender {
     queue: mpsc::Sender<Message>,
     closed: CancellationToken,
+    fault: Arc<OnceLock<Fault>>,
+}
+
+/// What a peer did wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It speaks another version of the protocol.
+    Version,
+    /// It sent more at once than is allowed.
+    Oversized,
+    /// It does not know the secret, or a frame was altered or replayed.
+    Authentication,
+    /// It sent something that does not decode.
+    Malformed,
+    /// It did not finish the handshake in time.
+    Timeout,
+}
+
+impl Fault {
+    /// Returns the name used in metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Version => "version",
+            Self::Oversized => "oversized",
+            Self::Authentication => "authentication",
+            Self::Malformed => "malformed",
+            Self::Timeout => "handshake-timeout",
+        }
+    }
+
+    /// Returns what an error says about the peer; none if the connection merely ended.
+    #[must_use]
+    pub const fn of(error: &Error) -> Option<Self> {
+        Some(match error {
+            Error::Protocol(kumquat_protocol::Error::Version { .. }) => Self::Version,
+            Error::Protocol(kumquat_protocol::Error::Oversized { .. }) => Self::Oversized,
+            Error::Protocol(kumquat_protocol::Error::Authentication(_)) => Self::Authentication,
+            Error::Protocol(kumquat_protocol::Error::Malformed(_)) => Self::Malformed,
+            Error::HandshakeTimeout => Self::Timeout,
+            _ => return None,
+        })
+    }
 }
 
 /// Receiving half of a link.
@@ -67,6 +111,7 @@
     packets: SplitStream<WebSocketStream<TcpStream>>,
     opener: Opener,
     closed: CancellationToken,
+    fault: Arc<OnceLock<Fault>>,
 }
 
 /// Accepts links.
@@ -146,7 +191,7 @@
         self.stream.set_nodelay(true).map_err(Error::connect)?;
         let mut socket = tokio_tungstenite::accept_async_with_config(self.stream, Some(limits()))
             .await
-            .map_err(Error::connect)?;
+            .map_err(packet_error)?;
 
         let hello = read_packet(&mut socket).await?;
         let (verifying, own) = handshake::respond(
@@ -209,11 +254,31 @@
     match socket.next().await {
         Some(Ok(Packet::Binary(bytes))) => Ok(bytes.to_vec()),
         Some(Ok(_)) => Err(kumquat_protocol::Error::malformed("expected a binary packet").into()),
-        Some(Err(error)) => Err(Error::connect(error)),
+        Some(Err(error)) => Err(packet_error(error)),
         None => Err(Error::Closed),
     }
 }
 
+/// Tells packets that break the limits or the rules of WebSocket from connections that ended.
+fn packet_error(error: tungstenite::Error) -> Error {
+    match error {
+        tungstenite::Error::Capacity(_) => {
+            kumquat_protocol::Error::oversized(LIMIT + 1, LIMIT).into()
+        }
+        tungstenite::Error::Protocol(
+            tungstenite::error::ProtocolError::ResetWithoutClosingHandshake,
+        ) => Error::Closed,
+        tungstenite::Error::Protocol(_)
+        | tungstenite::Error::Utf8(_)
+        | tungstenite::Error::Http(_)
+        | tungstenite::Error::HttpFormat(_)
+        | tungstenite::Error::AttackAttempt => {
+            kumquat_protocol::Error::malformed(error.to_string()).into()
+        }
+        error => Error::connect(error),
+    }
+}
+
 async fn write_packet<S>(socket: &mut WebSocketStream<S>, bytes: Vec<u8>) -> Result<()>
 where
     S: AsyncRead + AsyncWrite + Unpin,
@@ -228,17 +293,20 @@
     let (sink, packets) = socket.split();
     let (queue, messages) = mpsc::channel(QUEUE);
     let closed = CancellationToken::new();
+    let fault = Arc::default();
     tokio::spawn(write(sink, session.sealer, messages, closed.clone()));
     Link {
         peer: session.peer,
         sender: Sender {
             queue,
             closed: closed.clone(),
+            fault: Arc::clone(&fault),
         },
         receiver: Receiver {
             packets,
             opener: session.opener,
             closed,
+            fault,
         },
     }
 }
@@ -323,6 +391,12 @@
         self.closed.is_cancelled()
     }
 
+    /// Returns what the peer did wrong if the link has ended for that.
+    #[must_use]
+    pub fn fault(&self) -> Option<Fault> {
+        self.fault.get().copied()
+    }
+
     /// Waits until the link has ended.
     pub async fn closed(&self) {
         self.closed.cancelled().await;
@@ -334,7 +408,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Closed`] when the link has ended, or a protocol error, after which the link is closed.
+    /// Returns [`Error::Closed`] or [`Error::Connect`] when the link has ended, or a protocol error, after which the link
+    /// is closed.
     pub async fn next(&mut self) -> Result<Message> {
         loop {
             let packet = tokio::select! {
@@ -346,9 +421,17 @@
                 Some(Ok(Packet::Binary(frame))) => self.opener.open(&frame).map_err(Error::from),
                 // The library answers pings by itself.
                 Some(Ok(Packet::Ping(_) | Packet::Pong(_))) => continue,
-                Some(Ok(_) | Err(_)) | None => Err(Error::Closed),
+                Some(Ok(Packet::Text(_))) => {
+                    Err(kumquat_protocol::Error::malformed("expected a binary packet").into())
+                }
+                Some(Ok(_)) | None => Err(Error::Closed),
+                Some(Err(error)) => Err(packet_error(error)),
             };
-            if result.is_err() {
+            if let Err(error) = &result {
+                if let Some(fault) = Fault::of(error) {
+                    // Only the first fault counts, after which the link is closed.
+                    let _later = self.fault.set(fault);
+                }
                 self.closed.cancel();
             }
             return result;
