--- a/crates/kumquat-entry/src/balance.rs
+++ b/crates/kumquat-entry/src/balance.rs
@@ -42,8 +42,8 @@
 }
 
 /// How a request ended at a group.
-#[derive(Clone, Copy, Debug)]
-enum End {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
     /// The caller hung up, or the end says nothing about the group.
     Unknown,
     /// The group answered or refused and told its load.
@@ -59,14 +59,9 @@
         &self.data_centre
     }
 
-    /// Ends the request with the load that the group told.
-    pub fn answered(mut self, load: wire::Load) {
-        self.end = End::Load(load);
-    }
-
-    /// Ends the request because the group could not be reached.
-    pub fn failed(mut self) {
-        self.end = End::Failed;
+    /// Ends the request.
+    pub fn end(mut self, end: End) {
+        self.end = end;
     }
 }
 
