Test that two hot keys of one slot are parted

Cause: the existing test of hot keys can pass by moves of slots alone, so nothing showed that a single key is moved. Change: a directed test with two keys of 100 requests per second each in one slot, 1.4 times the mean load of an upstream; exactly one key gets a placement of its own and stays there over 1,000 steps of the planner. Conclusion: hot keys move one at a time and do not move back and forth.

--- a/crates/kumquat-coordination/tests/coordinator.rs
+++ b/crates/kumquat-coordination/tests/coordinator.rs
@@ -364,6 +364,38 @@
     );
 }
 
+/// Guards against two hot keys in one slot that no move of slots can part.
+#[test]
+fn hot_keys_of_one_slot_are_parted() {
+    let mut world = settled(9, 6);
+    let slot_of = |key: &u64| kumquat_state::hash::slot(*key, SLOTS);
+    let mut hot: Vec<u64> = (0..1_000_u32)
+        .map(|number| kumquat_state::hash::key(&number.to_le_bytes()))
+        .filter(|key| slot_of(key) == Slot(5))
+        .collect();
+    hot.truncate(2);
+
+    for _ in 0..1_000 {
+        let table = world.ledger.table(&service()).expect("a table");
+        let is_placed = |key: &u64| table.placements.iter().any(|placed| placed.key == *key);
+        let in_slot = hot.iter().filter(|key| !is_placed(key)).count();
+        let mut slots = vec![10.0; SLOTS as usize];
+        slots[5] += if in_slot == 2 { 200.0 } else { 100.0 };
+        world.loads = vec![Load {
+            service: service(),
+            slots,
+            keys: hot.iter().map(|key| (*key, 100.0)).collect(),
+        }];
+        world.communicate(1);
+        world.check();
+        world.coordinate();
+    }
+
+    let table = world.ledger.table(&service()).expect("a table");
+    assert_eq!(table.placements.len(), 1, "one of the two keys moves");
+    assert_ne!(table.owner(hot[0]), table.owner(hot[1]));
+}
+
 /// Guards against two owners, breaches of the change rule and lost progress over long random runs.
 #[test]
 fn random_runs_keep_the_rules_and_converge() {
