Leave homes and dispatch processes that fall silent

Cause: a VM that is paused or cut off closes no connection. Requests under way to it waited for their deadline, and questions to a home were dropped at their time limit before the next holder was noted, so teams whose home was cut off got 429 for as long as the partition lasted. Conclusion: silent losses are handled like loud ones.

--- a/crates/kumquat-entry/src/admission.rs
+++ b/crates/kumquat-entry/src/admission.rs
@@ -242,9 +242,9 @@
 
 /// Asks the home once and hands its answer to the share.
 async fn send(context: Context, team: ident::Team, counter: Arc<Counter>, ask: limit::Ask) {
-    let reply = timeout(ASK_TIMEOUT, ask_home(&context, &team, &ask)).await;
+    let reply = ask_home(&context, &team, &ask).await;
     let asks = counter.apply(|share| {
-        if let Ok(Ok(credit)) = reply {
+        if let Ok(credit) = reply {
             return share.on_credit(clock::now(), &credit);
         }
         share.on_failure(clock::now(), ask.sequence);
@@ -269,7 +269,10 @@
         .memory
         .holder(&ledger, &role)
         .ok_or_else(|| Error::connect("the team has no home yet"))?;
-    let result = exchange(context, member, team, ask).await;
+    // A home that is paused or cut off neither answers nor refuses; its successor has to be asked as well.
+    let result = timeout(ASK_TIMEOUT, exchange(context, member, team, ask))
+        .await
+        .unwrap_or_else(|_elapsed| Err(Error::connect("the home did not answer in time")));
     match result {
         Ok(credit) if credit.acting => Ok(limit::Credit::from(&credit)),
         Ok(_) => {
--- a/crates/kumquat-entry/src/links.rs
+++ b/crates/kumquat-entry/src/links.rs
@@ -11,8 +11,10 @@
 
 use crate::metrics::Metrics;
 
+mod liveness;
 mod streams;
 
+use liveness::Heard;
 use streams::Streams;
 pub use streams::{CreditReply, Head};
 
@@ -112,7 +114,18 @@
 impl Connection {
     fn start(link: link::Link, metrics: Metrics) -> Self {
         let streams = Arc::new(Streams::default());
-        tokio::spawn(read(link.receiver, Arc::clone(&streams), metrics));
+        let heard = Arc::new(Heard::now());
+        tokio::spawn(read(
+            link.receiver,
+            Arc::clone(&streams),
+            Arc::clone(&heard),
+            metrics,
+        ));
+        tokio::spawn(liveness::watch(
+            link.sender.clone(),
+            Arc::clone(&streams),
+            heard,
+        ));
         Self {
             sender: link.sender,
             incarnation: link.peer.incarnation,
@@ -213,8 +226,14 @@
 }
 
 /// Hands the messages of a connection to their streams until it ends.
-async fn read(mut receiver: link::Receiver, streams: Arc<Streams>, metrics: Metrics) {
+async fn read(
+    mut receiver: link::Receiver,
+    streams: Arc<Streams>,
+    heard: Arc<Heard>,
+    metrics: Metrics,
+) {
     while let Ok(message) = receiver.next().await {
+        heard.note();
         let known = match message {
             Message::Answer(answer) => streams.head(answer.stream, Head::Answer(answer)),
             Message::Refusal(refusal) => {
@@ -224,6 +243,7 @@
             Message::Window(window) => streams.window(window.stream, window.bytes),
             Message::Cancel(cancel) => streams.cancel(cancel.stream),
             Message::Credit(credit) => streams.credit(credit),
+            Message::Pong => true,
             _ => false,
         };
         // Answers to streams that have been given up are expected now and then.
--- a/crates/kumquat-entry/src/links/streams.rs
+++ b/crates/kumquat-entry/src/links/streams.rs
@@ -154,6 +154,12 @@
         reply.send(credit).is_ok()
     }
 
+    /// Returns whether the peer owes an answer to a request or a question.
+    pub fn is_awaited(&self) -> bool {
+        let state = self.lock();
+        !state.open.is_empty() || !state.credits.is_empty()
+    }
+
     /// Ends all streams with the connection.
     pub fn close(&self) {
         let mut state = self.lock();
