Give up the coordinator's lease without authority

Cause: a coordinator cut off from the majority kept its lease as long as it reached the store, so nobody planned for the majority; the coordinator gauge also stayed at 1 when a run was fenced. Change: only a VM with authority seeks or keeps the lease once the cell is formed, and the end of a run resets the gauge. 'cargo nextest run -p kumquat-local' with the tests of partitions and pauses: a coordinator of the majority appears while the partition lasts, which it did not before. Conclusion: planning resumes after the loss of the lease's holder whether or not it reaches the store.

--- a/crates/kumquat-dispatch/src/control/coordination.rs
+++ b/crates/kumquat-dispatch/src/control/coordination.rs
@@ -428,7 +428,11 @@
     /// Tells the tasks that talk to the store what is wanted of them at present.
     pub(super) fn direct_platform(&self, now: Instant) {
         let coordination = &self.coordination;
+        // A coordinator that is cut off from the majority can plan nothing, but would keep the lease as long as it
+        // reaches the store. Until there is a cell, nobody has authority.
+        let is_formed = !self.authority.membership().members.is_empty();
         let campaign = !self.leaving
+            && (!is_formed || self.authority.may_act(now))
             && (coordination.is_coordinator() || coordination.coordinator(now).is_none());
         // Few VMs watch the store: the coordinator, one per data centre, and those whom no majority keeps up to date.
         let watch =
--- a/crates/kumquat-dispatch/src/server.rs
+++ b/crates/kumquat-dispatch/src/server.rs
@@ -375,6 +375,7 @@
         ended.cancel();
         self.metrics.authority.set(0);
         self.metrics.acting.set(0);
+        self.metrics.coordinator.set(0);
         if !running.is_finished() {
             drop(running.await);
         }
