--- a/crates/kumquat-local/src/load.rs
+++ b/crates/kumquat-local/src/load.rs
@@ -30,7 +30,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            rate: 150,
+            rate: 100,
             seed: 7,
             post_percent: 30,
             keys: 200,
