Measure the policies against simpler ones

The aims for stragglers, a data centre out and back, a flooding team, rates, cold starts and overload had no measurement on running daemons. Add the subcommand policy with one module per scenario, on both deployments, and the dispatch group against power of two choices and slot leases in virtual time, with the harness of the tuning example; the comparison of rate limits follows the crate's experiment.

--- a/crates/kumquat-bench/src/lib.rs
+++ b/crates/kumquat-bench/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cpu;
 pub mod load;
 pub mod path;
+pub mod policy;
 pub mod report;
 pub mod settings;
 pub mod stats;
--- a/crates/kumquat-bench/src/main.rs
+++ b/crates/kumquat-bench/src/main.rs
@@ -3,7 +3,7 @@
 use clap::Parser;
 use eyre::Result;
 use kumquat_bench::settings::{Arguments, Command};
-use kumquat_bench::{path, settings};
+use kumquat_bench::{path, policy, settings};
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -14,6 +14,7 @@
     settings::print(settings);
     let report = match &arguments.command {
         Command::Path => path::run(settings)?,
+        Command::Policy { scenarios } => policy::run(settings, scenarios)?,
     };
     report.publish(&settings.out)
 }
--- a/crates/kumquat-bench/src/settings.rs
+++ b/crates/kumquat-bench/src/settings.rs
@@ -5,6 +5,8 @@
 
 use clap::{Args, Parser, Subcommand};
 
+use crate::policy::Scenario;
+
 /// Measures kumquatpond on loopback.
 #[derive(Debug, Parser)]
 #[command(version)]
@@ -50,6 +52,11 @@
 pub enum Command {
     /// Added latency, throughput per core and memory of one VM.
     Path,
+    /// Tail latency, fairness, rates, cold start and overload, against simpler policies.
+    Policy {
+        /// Scenarios to run; all without any.
+        scenarios: Vec<Scenario>,
+    },
 }
 
 /// Prints what a run depends on.
