--- a/crates/kumquat-dispatch/src/group.rs
+++ b/crates/kumquat-dispatch/src/group.rs
@@ -161,6 +161,7 @@
         group,
         open: Vec::new(),
         next_id: 0,
+        queued: 0,
         release: None,
         context,
     };
@@ -177,6 +178,8 @@
     // Sorted by id, which only grows.
     open: Vec<Open>,
     next_id: u64,
+    // What this group adds to the service's gauge, which several groups of one process share.
+    queued: u32,
     release: Option<(Instant, oneshot::Sender<()>)>,
 }
 
@@ -206,6 +209,7 @@
             }
             self.tick();
         }
+        self.show_queue(0);
     }
 
     fn command(&mut self, command: Command) {
@@ -334,6 +338,16 @@
             drop(self.context.reports.try_send(status));
         }
         self.check_release(now);
+        self.show_queue(self.group.load(now).queued);
+    }
+
+    fn show_queue(&mut self, queued: u32) {
+        if queued != self.queued {
+            let name = self.context.service.name.as_str();
+            let gauge = self.context.metrics.queued.with_label_values(&[name]);
+            gauge.add(i64::from(queued) - i64::from(self.queued));
+            self.queued = queued;
+        }
     }
 
     /// Completes a release once nothing is running or waiting any longer does more harm than good.
--- a/crates/kumquat-entry/src/listener.rs
+++ b/crates/kumquat-entry/src/listener.rs
@@ -112,6 +112,13 @@
         self.ended.cancelled().await;
     }
 
+    /// Lets nothing more be sent.
+    ///
+    /// Poem polls a connection whose body has failed once more, and hyper then ends a chunked body as if it were whole.
+    pub fn cut(&self) {
+        self.ended.cancel();
+    }
+
     /// Notes that the gateway has a request, until the returned value is dropped.
     #[must_use]
     pub fn begin(self: &Arc<Self>) -> Answering {
--- a/crates/kumquat-entry/src/streaming.rs
+++ b/crates/kumquat-entry/src/streaming.rs
@@ -36,9 +36,20 @@
     guard: Guard,
     // Bytes still to come, if the upstream stated the length.
     left: Option<u64>,
+    // Whether the body has come to an end, good or bad.
+    has_ended: bool,
     streaming: Streaming,
 }
 
+impl Drop for Source {
+    fn drop(&mut self) {
+        // Hyper drops the body of an answer that it can't send any more.
+        if !self.has_ended {
+            self.streaming.metrics.hung_up.inc();
+        }
+    }
+}
+
 /// Creates the response whose body streams from the dispatch process.
 #[must_use]
 pub fn respond(
@@ -67,6 +78,7 @@
         incoming,
         guard,
         left: length,
+        has_ended: false,
         streaming,
     };
     if method == "HEAD" || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
@@ -95,7 +107,6 @@
         biased;
         part = timeout(source.streaming.pause, source.incoming.next()) => part,
         () = ended(source.streaming.caller.as_ref()) => {
-            source.streaming.metrics.hung_up.inc();
             return Some((Err(io::ErrorKind::ConnectionAborted.into()), None));
         }
     };
@@ -107,17 +118,25 @@
             if source.left == Some(0) {
                 // Hyper drops a body that has reached its stated length, before it sees the end.
                 source.guard.finish();
+                source.has_ended = true;
             }
             return Some((Ok(part), Some(source)));
         }
         Ok(Ok(None)) => {
             source.guard.finish();
+            source.has_ended = true;
             return None;
         }
         Ok(Err(error)) => error.to_string(),
         Err(_elapsed) => "the answer's body paused for too long".to_owned(),
     };
+    source.has_ended = true;
     source.streaming.metrics.broken_answers.inc();
+    // Hyper drops what it has not sent when the body fails; waiting once lets the head and the parts so far go out.
+    tokio::task::yield_now().await;
+    if let Some(caller) = &source.streaming.caller {
+        caller.cut();
+    }
     Some((Err(io::Error::other(error)), None))
 }
 
