--- a/crates/kumquat-entry/src/caller.rs
+++ b/crates/kumquat-entry/src/caller.rs
@@ -88,11 +88,14 @@
     }
 }
 
-/// Returns the routing key of a request, if it has one.
+/// Returns the routing key of a request, if it has exactly one and that is not empty.
 #[must_use]
 pub fn routing_key<'a>(route: &Route, headers: &'a HeaderMap, path: &'a str) -> Option<&'a [u8]> {
-    if let Some(value) = headers.get(ROUTING_KEY_HEADER) {
-        return Some(value.as_bytes());
+    let mut stated = headers.get_all(ROUTING_KEY_HEADER).iter();
+    if let Some(value) = stated.next() {
+        // Of two keys it would be unclear which owner the request is for.
+        let is_only = stated.next().is_none() && !value.is_empty();
+        return is_only.then_some(value.as_bytes());
     }
     let rest = path.strip_prefix(route.prefix.as_str())?;
     let segment = rest.trim_start_matches('/').split('/').next()?;
--- a/crates/kumquat-entry/src/links.rs
+++ b/crates/kumquat-entry/src/links.rs
@@ -11,7 +11,7 @@
 
 use crate::metrics::Metrics;
 
-mod liveness;
+pub mod liveness;
 mod streams;
 
 use liveness::Heard;
