Bound the memory of the large explorations

Visited states now keep only their 128-bit hash and a pointer, the large specifications run one after the other, and their bounds are smaller.

--- a/crates/kumquat-spec/src/check.rs
+++ b/crates/kumquat-spec/src/check.rs
@@ -75,14 +75,14 @@
 #[derive(Clone)]
 struct Node<State> {
     key: u128,
-    state: RefCell<Option<State>>,
+    state: RefCell<Option<Box<State>>>,
 }
 
 impl<State: Hash> Node<State> {
     fn new(state: State) -> Self {
         Self {
             key: fingerprint(&state),
-            state: RefCell::new(Some(state)),
+            state: RefCell::new(Some(Box::new(state))),
         }
     }
 }
@@ -133,7 +133,7 @@
             let state = node.state.borrow();
             state
                 .as_ref()
-                .is_some_and(|state| specification.violation(state).is_some())
+                .is_some_and(|state| specification.violation(&**state).is_some())
         },
     );
     Report {
--- a/crates/kumquat-spec/src/main.rs
+++ b/crates/kumquat-spec/src/main.rs
@@ -1,11 +1,13 @@
 //! Explores the specifications of the core protocol and reports the first counterexample of each.
 
+use std::collections::VecDeque;
 use std::process::ExitCode;
+use std::thread;
 
 use clap::Parser;
 use eyre::eyre;
 use kumquat_spec::mutation::Mutation;
-use kumquat_spec::suite::{Extent, suite};
+use kumquat_spec::suite::{Exploration, Extent, suite};
 
 /// Explores the specifications of the core protocol exhaustively.
 #[derive(Debug, Parser)]
@@ -33,23 +35,28 @@
         Extent::Bounded
     };
 
-    // Each specification has a thread of its own, since they differ much in size.
-    let mut threads = Vec::new();
-    for explore in suite(extent, arguments.mutation) {
-        if arguments
-            .only
-            .as_ref()
-            .is_none_or(|name| name == explore.name)
-        {
-            threads.push(std::thread::spawn(explore.run));
-        }
-    }
-    if threads.is_empty() {
+    // Each specification has a thread of its own, since they differ much in size. The large ones run one by one, because
+    // together they would need too much memory.
+    let width = if arguments.large { 1 } else { usize::MAX };
+    let selected = |name: &str| arguments.only.as_ref().is_none_or(|only| only == name);
+    let mut explorations: VecDeque<Exploration> = suite(extent, arguments.mutation)
+        .into_iter()
+        .filter(|exploration| selected(exploration.name))
+        .collect();
+    if explorations.is_empty() {
         return Err(eyre!("no specification has this name"));
     }
-
+    let mut threads = VecDeque::new();
     let mut code = ExitCode::SUCCESS;
-    for thread in threads {
+    loop {
+        while threads.len() < width
+            && let Some(exploration) = explorations.pop_front()
+        {
+            threads.push_back(thread::spawn(exploration.run));
+        }
+        let Some(thread) = threads.pop_front() else {
+            return Ok(code);
+        };
         let Ok(report) = thread.join() else {
             return Err(eyre!("an exploration stopped early"));
         };
@@ -70,5 +77,4 @@
             code = ExitCode::FAILURE;
         }
     }
-    Ok(code)
 }
--- a/crates/kumquat-spec/src/suite.rs
+++ b/crates/kumquat-spec/src/suite.rs
@@ -97,16 +97,13 @@
         let ticks = |bounds: Bounds, horizon| Bounds { horizon, ..bounds };
         let faults = Bounds {
             faults: 3,
-            ..ticks(FAULTS, 7)
+            ..ticks(FAULTS, 5)
         };
         [
             faults,
-            ticks(MEMBERSHIP, 14),
-            ticks(MEMBERSHIP_FAULTS, 10),
-            Bounds {
-                writes: 2,
-                ..HOLDERS
-            },
+            ticks(MEMBERSHIP, 11),
+            ticks(MEMBERSHIP_FAULTS, 9),
+            ticks(HOLDERS, 11),
         ]
     } else {
         [FAULTS, MEMBERSHIP, MEMBERSHIP_FAULTS, HOLDERS]
@@ -116,8 +113,8 @@
         .map(|bounds| exploration(Cell { bounds, mutation }))
         .collect();
     suite.push(exploration(Coordinators {
-        coordinators: 2,
-        writes: pick(5, 6),
+        coordinators: usize::from(pick(2, 3)),
+        writes: pick(5, 4),
         mutation,
     }));
     suite.push(exploration(Operators {
