--- a/crates/kumquat-bench/src/policy/harness.rs
+++ b/crates/kumquat-bench/src/policy/harness.rs
@@ -8,6 +8,8 @@
 
 #[path = "../../../kumquat-coordination/examples/dispatch_tuning/baseline.rs"]
 mod baseline;
+#[path = "../../../kumquat-coordination/examples/dispatch_tuning/event.rs"]
+pub mod event;
 #[path = "../../../kumquat-coordination/examples/dispatch_tuning/model.rs"]
 pub mod model;
 #[path = "../../../kumquat-coordination/examples/dispatch_tuning/scenario.rs"]
--- a/crates/kumquat-bench/src/policy/virtual_time.rs
+++ b/crates/kumquat-bench/src/policy/virtual_time.rs
@@ -36,7 +36,8 @@
     each(settings, |firm, (policy, kind), quiet| {
         let normal = sim::run(&quiet);
         for number in 1..=2 {
-            let slow = sim::run(&scenario::stragglers(quiet.clone(), number));
+            let slow: Vec<usize> = (0..number).collect();
+            let slow = sim::run(&scenario::stragglers(quiet.clone(), &slow));
             let scenario = format!("{firm} virtual, {number} stragglers");
             let place = (scenario.as_str(), policy);
             let bound = |value| bound_of_product(kind, Bound::AtMost(value));
--- a/crates/kumquat-dispatch/src/group.rs
+++ b/crates/kumquat-dispatch/src/group.rs
@@ -331,15 +331,6 @@
         let mut actions = Vec::new();
         self.group.tick(now, &mut actions);
         self.apply(actions);
-        let labels = [
-            self.context.service.name.as_str(),
-            self.context.data_centre.as_str(),
-        ];
-        self.context
-            .metrics
-            .unanswered
-            .with_label_values(&labels)
-            .set(i64::try_from(self.open.len()).unwrap_or(i64::MAX));
         self.ownership
             .tick(now, &self.context.permit, &self.upstreams);
         if let Some(status) = self.ownership.status(now, &self.context) {
@@ -347,7 +338,7 @@
             drop(self.context.reports.try_send(status));
         }
         self.check_release(now);
-        self.show_queue(self.group.load(now).queued);
+        self.show_queue(self.group.waiting());
     }
 
     fn show_queue(&mut self, queued: u32) {
--- a/crates/kumquat-dispatch/src/metrics.rs
+++ b/crates/kumquat-dispatch/src/metrics.rs
@@ -12,8 +12,8 @@
     pub refusals: IntCounterVec,
     /// Changes of an upstream's state by kind.
     pub upstream_changes: IntCounterVec,
-    /// Requests whose answer has not begun, by service and data centre.
-    pub unanswered: IntGaugeVec,
+    /// Requests in the queue by service.
+    pub queued: IntGaugeVec,
     /// Attempts that were not sent because permission had lapsed.
     pub withheld: IntCounter,
     /// Messages by kind that were dropped because they made no sense.
@@ -73,15 +73,12 @@
             register(&registry, Box::new(gauge.clone()));
             gauge
         };
-        let unanswered = IntGaugeVec::new(
-            Opts::new(
-                "kumquat_dispatch_unanswered_requests",
-                "Requests whose answer has not begun.",
-            ),
-            &["service", "data_centre"],
+        let queued = IntGaugeVec::new(
+            Opts::new("kumquat_dispatch_queued_requests", "Requests in the queue."),
+            &["service"],
         )
         .expect("valid metric options");
-        register(&registry, Box::new(unanswered.clone()));
+        register(&registry, Box::new(queued.clone()));
 
         Self {
             attempts: counters(
@@ -99,7 +96,7 @@
                 "Changes of an upstream's state by kind.",
                 &["upstream", "change"],
             ),
-            unanswered,
+            queued,
             withheld: counter(
                 "kumquat_dispatch_withheld_attempts_total",
                 "Attempts that were not sent because permission had lapsed.",
