--- a/crates/kumquat-coordination/src/dispatch/pump.rs
+++ b/crates/kumquat-coordination/src/dispatch/pump.rs
@@ -5,7 +5,7 @@
 
 use super::request::Phase;
 use super::timer::Due;
-use super::{Action, Group, Reason, seconds};
+use super::{Action, Group, Reason, outlier, seconds};
 
 impl Group {
     /// Sends waiting requests as long as slots are free.
@@ -120,10 +120,14 @@
         if now < self.requests[handle as usize].deadline {
             return;
         }
-        // Upstreams that run a request until its deadline have failed, as those that break the connection have.
+        // An upstream has failed if it had ample time; a request that was sent late proves nothing.
+        let ample = seconds(self.usual_latency() * outlier::CLAMP);
         for position in 0..self.attempts.len() {
             let attempt = self.attempts[position];
-            if attempt.request == Some(handle) && self.servers[attempt.server].outlier.fail() {
+            if attempt.request == Some(handle)
+                && now.saturating_since(attempt.sent) >= ample
+                && self.servers[attempt.server].outlier.fail()
+            {
                 self.eject(now, attempt.server, out);
             }
         }
