Let every holder that acted report before a slot gets its new owner

Cause: the specification found two owners of one slot: a holder reports at the new revision and is lost, its successor takes over with an outdated ledger and grants the slot anew, and then learns of the move, so that the coordinator sees all successors up to date. Change: VMs confirm a revision together with the groups that they have open; the planner also waits for the report of every listed holder that had the group open. Confirmations are repeated, reports of a VM whose permission has lapsed still tell what it has granted.

--- a/crates/kumquat-coordination/src/coordinator.rs
+++ b/crates/kumquat-coordination/src/coordinator.rs
@@ -30,10 +30,10 @@
     pub is_fenced: &'a dyn Fn(&Holder) -> bool,
     /// Whether the ledger may change to the candidate membership at present.
     pub may_change: &'a dyn Fn(&Membership) -> bool,
-    /// Latest report of each acting holder of a dispatch group.
+    /// Latest report of each VM on each dispatch group for which it acts.
     pub groups: &'a [Group],
-    /// Ledger revision that each VM has taken over.
-    pub revisions: &'a [(Holder, Revision)],
+    /// What each VM has said of the ledger that it has in force, the latest of each.
+    pub confirmations: &'a [Confirmation],
     /// Releases that holders have acknowledged.
     pub released: &'a [Released],
     /// Load of each keyed service.
@@ -58,6 +58,17 @@
     pub unreachable: Vec<Upstream>,
 }
 
+/// A VM says that it has a ledger in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Confirmation {
+    /// The VM.
+    pub holder: Holder,
+    /// Revision of its ledger.
+    pub revision: Revision,
+    /// Dispatch groups for which it acts, or has acted so that its grants may still be in force.
+    pub acting: Vec<Name>,
+}
+
 /// A holder has stopped acting for a role.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Released {
@@ -316,28 +327,51 @@
 
     /// Returns the reports of all dispatch groups of a service, if they prove what no upstream holds any more.
     ///
-    /// A slot or key that none of them lists is free. Each acting holder must have reported at the present revision, and
-    /// no listed successor may be at an earlier one; otherwise a successor could take over and grant anew what its
-    /// outdated ledger says.
+    /// A slot or key that none of them lists is free. The acting holder must have reported at the present revision. Every
+    /// other listed holder must have the present revision, so that it can't take over and grant what an outdated ledger
+    /// says; if it acted when it took the revision over, it must have reported as well. The last condition covers a
+    /// successor that took over with an outdated ledger from a holder that had reported before it was lost.
     fn settled(&self, service: &Service) -> Option<Vec<&Group>> {
-        let revision = self.ledger.revision;
         self.ledger
             .roles
             .iter()
             .filter(|role| matches!(&role.name, Name::Group { service: of, .. } if of == service))
             .map(|role| {
-                let (rank, _) = self.acting(role)?;
-                let is_current = role.holders[rank + 1..].iter().all(|holder| {
-                    (self.is_fenced)(holder)
-                        || self
-                            .revisions
-                            .iter()
-                            .any(|(vm, at)| vm == holder && *at >= revision)
-                });
-                self.group(role)
-                    .filter(|group| is_current && group.revision >= revision)
+                let (_, acting) = self.acting(role)?;
+                role.holders
+                    .iter()
+                    .filter(|holder| !(self.is_fenced)(holder))
+                    .map(|holder| self.settled_by(role, holder, holder == acting))
+                    .collect::<Option<Vec<_>>>()
             })
-            .collect()
+            .collect::<Option<Vec<_>>>()
+            .map(|reports| reports.into_iter().flatten().flatten().collect())
+    }
+
+    /// Returns the report that a listed holder owes, if it owes one; none at all if its word is still missing.
+    #[expect(
+        clippy::option_option,
+        reason = "no report owed and word still missing are different results"
+    )]
+    fn settled_by(
+        &self,
+        role: &ledger::Role,
+        holder: &Holder,
+        must_report: bool,
+    ) -> Option<Option<&Group>> {
+        let revision = self.ledger.revision;
+        if !must_report {
+            let confirmation = self.confirmations.iter().find(|confirmation| {
+                confirmation.holder == *holder && confirmation.revision >= revision
+            })?;
+            if !confirmation.acting.contains(&role.name) {
+                return Some(None);
+            }
+        }
+        let report = self.groups.iter().find(|group| {
+            group.role == role.name && group.holder == *holder && group.revision >= revision
+        })?;
+        Some(Some(report))
     }
 
     fn has_released(&self, role: &Name, holder: &Holder) -> bool {
--- a/crates/kumquat-coordination/tests/coordinator.rs
+++ b/crates/kumquat-coordination/tests/coordinator.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use kumquat_coordination::coordinator::Load;
+use kumquat_coordination::coordinator::{Group, Load};
 use kumquat_state::bundle::{Placement, State};
 use kumquat_state::ident::{Revision, Slot};
 use kumquat_state::ledger::Name;
@@ -206,6 +206,43 @@
     assert!(!counts(&world).contains_key("shelf-00"));
 }
 
+/// Guards against a slot with two owners: a holder reports and is lost, its successor takes over with an outdated ledger,
+/// grants the slot anew, and only then learns of the move.
+#[test]
+fn move_waits_for_a_successor_that_acted_with_an_outdated_ledger() {
+    let mut world = settled(9, 6);
+    world.bundle.upstreams[0].state = State::Draining;
+    world.coordinate();
+    let revision = world.ledger.revision;
+    let role = Name::Group {
+        service: service(),
+        data_centre: world.bundle.upstreams[0].data_centre.clone(),
+    };
+    let successor = world.ledger.role(&role).expect("a role").holders[1].clone();
+    let index = (0..world.vms.len())
+        .find(|index| holder(&world.vms[*index].member) == successor)
+        .expect("a member");
+    world.vms[index].acted = vec![role.clone()];
+
+    for _ in 0..50 {
+        world.communicate(1);
+        world.coordinate();
+    }
+    let waiting = world.ledger.revision;
+    world.reports.push(Group {
+        role,
+        holder: successor,
+        revision,
+        held: Vec::new(),
+        held_keys: Vec::new(),
+        unreachable: Vec::new(),
+    });
+    settle(&mut world);
+
+    assert_eq!(waiting, revision);
+    assert!(!counts(&world).contains_key("shelf-00"));
+}
+
 /// Guards against a slot that is given away on the word of a holder whose outdated ledger may grant it again.
 #[test]
 fn lapse_under_an_outdated_ledger_does_not_free_a_slot() {
--- a/crates/kumquat-coordination/tests/support/world.rs
+++ b/crates/kumquat-coordination/tests/support/world.rs
@@ -2,11 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use kumquat_coordination::coordinator::{Coordinator, Group, Load, Released, Step, View};
+use kumquat_coordination::coordinator::{
+    Confirmation, Coordinator, Group, Load, Released, Step, View,
+};
 use kumquat_state::bundle::{Bundle, DataCentre, Kind, Placement, Service, State, Team, Upstream};
 use kumquat_state::clock::Instant;
 use kumquat_state::hash;
-use kumquat_state::ident::{self, Incarnation, Revision, Slot};
+use kumquat_state::ident::{self, Incarnation, Slot};
 use kumquat_state::ledger::{Holder, Ledger, Member, Membership, Name, Role};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -40,6 +42,8 @@
     /// Learns of new ledgers late.
     pub is_slow: bool,
     pub ledger: Ledger,
+    /// Groups for which it says that it acts or has acted.
+    pub acted: Vec<Name>,
 }
 
 /// What an upstream holds, and whether it can be reached.
@@ -138,6 +142,7 @@
                 is_paused: false,
                 is_slow: false,
                 ledger: Ledger::default(),
+                acted: Vec::new(),
             })
             .collect();
         let mut world = Self {
@@ -315,7 +320,8 @@
                 .map(|(name, _)| (*name).clone())
                 .collect(),
         };
-        self.reports.retain(|other| other.role != *role);
+        self.reports
+            .retain(|other| other.role != *role || other.holder != report.holder);
         self.reports.push(report);
     }
 
@@ -328,11 +334,15 @@
             .filter(|vm| vm.is_up && !vm.is_paused)
             .map(|vm| vm.member.clone())
             .collect();
-        let revisions: Vec<(Holder, Revision)> = self
+        let confirmations: Vec<Confirmation> = self
             .vms
             .iter()
             .filter(|vm| vm.is_up)
-            .map(|vm| (holder(&vm.member), vm.ledger.revision))
+            .map(|vm| Confirmation {
+                holder: holder(&vm.member),
+                revision: vm.ledger.revision,
+                acting: vm.acted.clone(),
+            })
             .collect();
         let may_change = |candidate: &Membership| {
             let alive = candidate
@@ -352,7 +362,7 @@
                 is_fenced: &|holder| self.fenced.contains(holder),
                 may_change: &may_change,
                 groups: &self.reports,
-                revisions: &revisions,
+                confirmations: &confirmations,
                 released: &self.released,
                 loads: &self.loads,
             },
--- a/crates/kumquat-dispatch/src/control.rs
+++ b/crates/kumquat-dispatch/src/control.rs
@@ -10,6 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use kumquat_coordination::authority::{self, Action, Authority};
+use kumquat_coordination::coordinator::Confirmation;
 use kumquat_coordination::role::Released;
 use kumquat_protocol::handshake::Identity;
 use kumquat_protocol::wire::{Freshness, Message, Pull};
@@ -279,8 +280,11 @@
                     vm: peer.vm.clone(),
                     incarnation: peer.incarnation,
                 };
-                let revision = ident::Revision(confirmed.revision);
-                self.coordination.note_confirmed(holder, revision);
+                self.coordination.note_confirmed(Confirmation {
+                    holder,
+                    revision: ident::Revision(confirmed.revision),
+                    acting: confirmed.acting,
+                });
                 Vec::new()
             }
             Message::Report(report) => {
@@ -332,6 +336,8 @@
             self.next_freshness = now + FRESHNESS_EVERY;
             self.tell_entries(now);
             self.report_status(now);
+            // Repeated, because a confirmation may be lost or the coordinator may be a new one.
+            self.confirm_ledger();
         }
         let bytes = self.peers.tick();
         self.metrics.control_bytes.inc_by(bytes);
--- a/crates/kumquat-dispatch/src/control/coordination.rs
+++ b/crates/kumquat-dispatch/src/control/coordination.rs
@@ -7,7 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquat_coordination::coordinator::{self, Coordinator, Group, Load, Released, Step, View};
+use kumquat_coordination::coordinator::{
+    self, Confirmation, Coordinator, Group, Load, Released, Step, View,
+};
 use kumquat_protocol::handshake::{Identity, Program};
 use kumquat_protocol::wire::{Confirmed, Message, Release, Report};
 use kumquat_state::clock::{self, Instant};
@@ -58,8 +60,8 @@
     /// VMs that leave according to the platform's list.
     listed_leaving: Vec<Vm>,
     other: Option<(Vm, Epoch, Instant)>,
-    /// Revisions that members confirmed before their next heartbeat, sorted.
-    confirmed: Vec<(Holder, Revision)>,
+    /// What the members have in force, the latest word of each, sorted by holder.
+    confirmed: Vec<Confirmation>,
     writing: Option<Operation>,
     next_plan: Instant,
     asked: Vec<Asked>,
@@ -140,23 +142,24 @@
             .map(|(vm, _, _)| vm)
     }
 
-    /// Notes that a member has taken a ledger revision over.
-    pub fn note_confirmed(&mut self, holder: Holder, revision: Revision) {
-        match self
+    /// Notes what a member has in force.
+    pub fn note_confirmed(&mut self, confirmation: Confirmation) {
+        let found = self
             .confirmed
-            .binary_search_by(|(other, _)| other.cmp(&holder))
-        {
-            Ok(index) => {
-                let known = &mut self.confirmed[index].1;
-                *known = (*known).max(revision);
-            }
-            Err(index) => self.confirmed.insert(index, (holder, revision)),
+            .binary_search_by(|known| known.holder.cmp(&confirmation.holder));
+        match found {
+            Ok(index) if self.confirmed[index] == confirmation => return,
+            Ok(index) => self.confirmed[index] = confirmation,
+            Err(index) => self.confirmed.insert(index, confirmation),
         }
         self.next_plan = Instant::ORIGIN;
     }
 
     fn note_group(&mut self, group: Group) {
-        let old = self.groups.iter().position(|old| old.role == group.role);
+        let old = self
+            .groups
+            .iter()
+            .position(|old| old.role == group.role && old.holder == group.holder);
         match old {
             Some(index) => self.groups[index] = group,
             None => self.groups.push(group),
@@ -250,12 +253,23 @@
         }
     }
 
-    /// Tells the coordinator at once that a new ledger is in force here; moves wait for all holders' word.
+    /// Tells the coordinator which ledger is in force here; moves wait for all holders' word.
+    ///
+    /// The groups are those that have been opened under this or an earlier ledger and not closed since.
     pub(super) fn confirm_ledger(&mut self) {
         let revision = self.documents.ledger_revision();
+        let acting = self.roles.groups();
+        if self.coordination.is_coordinator() {
+            return self.coordination.note_confirmed(Confirmation {
+                holder: self.me.clone(),
+                revision,
+                acting,
+            });
+        }
         if let Some(vm) = self.coordination.coordinator(clock::now()) {
             let confirmed = Confirmed {
                 revision: revision.0,
+                acting,
             };
             self.peers.send(vm, Message::Confirmed(confirmed));
         }
@@ -333,7 +347,6 @@
         ledger: &Ledger,
     ) -> Option<Step> {
         let live = self.live(now);
-        let revisions = self.revisions();
         let authority = &self.authority;
         let coordination = &mut self.coordination;
         if self.leaving {
@@ -351,7 +364,7 @@
             is_fenced: &|holder| authority.is_fenced(holder),
             may_change: &|membership| authority.may_change(now, membership),
             groups: &coordination.groups,
-            revisions: &revisions,
+            confirmations: &coordination.confirmed,
             released: &coordination.released,
             loads: &coordination.loads,
         };
@@ -423,18 +436,6 @@
         live
     }
 
-    fn revisions(&self) -> Vec<(Holder, Revision)> {
-        let peers = self
-            .authority
-            .peers()
-            .iter()
-            .map(|peer| (peer.holder.clone(), peer.ledger));
-        std::iter::once((self.me.clone(), self.documents.ledger_revision()))
-            .chain(peers)
-            .chain(self.coordination.confirmed.iter().cloned())
-            .collect()
-    }
-
     /// Tells the tasks that talk to the store what is wanted of them at present.
     pub(super) fn direct_platform(&self, now: Instant) {
         let coordination = &self.coordination;
--- a/crates/kumquat-dispatch/src/control/roles.rs
+++ b/crates/kumquat-dispatch/src/control/roles.rs
@@ -89,6 +89,16 @@
             .count()
     }
 
+    /// Returns the dispatch groups that are open, whether or not this VM has permission to act for them now.
+    #[must_use]
+    pub fn groups(&self) -> Vec<Name> {
+        self.active
+            .iter()
+            .filter(|active| active.group.is_some())
+            .map(|active| active.name.clone())
+            .collect()
+    }
+
     /// Renews, opens and closes roles according to ledger and authority.
     pub fn refresh(
         &mut self,
--- a/crates/kumquat-dispatch/src/group/ownership.rs
+++ b/crates/kumquat-dispatch/src/group/ownership.rs
@@ -244,7 +244,7 @@
 
     /// Returns the report for the coordinator if it is due.
     pub fn status(&mut self, now: Instant, context: &Context) -> Option<Status> {
-        if now < self.next_report || context.permit.until().is_none() {
+        if now < self.next_report {
             return None;
         }
         let (held_slots, held_keys, moving) = self.held();
--- a/crates/kumquat-local/tests/peers.rs
+++ b/crates/kumquat-local/tests/peers.rs
@@ -162,7 +162,10 @@
 
     // An entry has no say in the coordination of the cell.
     let (mut senseless, mut session_c) = session(address).await;
-    let confirmed = Message::Confirmed(Confirmed { revision: u64::MAX });
+    let confirmed = Message::Confirmed(Confirmed {
+        revision: u64::MAX,
+        acting: Vec::new(),
+    });
     send(
         &mut senseless,
         session_c.sealer.seal(&confirmed).expect("sealed"),
--- a/crates/kumquat-protocol/src/wire.rs
+++ b/crates/kumquat-protocol/src/wire.rs
@@ -461,6 +461,9 @@
     /// The revision.
     #[serde(rename = "n")]
     pub revision: u64,
+    /// Dispatch groups for which the sender acts, or has acted so that its grants may still be in force.
+    #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
+    pub acting: Vec<ledger::Name>,
 }
 
 /// What an acting holder knows of its group, for the coordinator.
