Repeat store reads that are behind their watch

Cause: a watch reports each change once, but a read that answered with the previous value, or lacked a chunk, was taken for the news, so the change stayed unknown until the next one; after a lost answer, such a read also made a write count as refused. Change: a read below the revision that the watch reported, or without a chunk that the head names, is a failure that is repeated; a head below the written revision is read again. Conclusion: stale reads delay a change and no longer lose it.

--- a/crates/kumquat-dispatch/src/platform/documents.rs
+++ b/crates/kumquat-dispatch/src/platform/documents.rs
@@ -7,7 +7,7 @@
 use kumquat_state::document::{self, Chunk, Head};
 use kumquat_state::ident::Revision;
 use kumquat_transport::budget::{Backoff, Delays};
-use kumquat_transport::store::{Failure, Value};
+use kumquat_transport::store::{self, Failure, Value};
 
 use super::{BUNDLE, Context, LEDGER};
 use crate::control::{Event, Received};
@@ -62,11 +62,20 @@
         let result = match watched {
             Ok(watched) => {
                 context.report(Event::StoreHeard).await;
-                let changed = watched.keys.iter().any(|listed| listed.key == key);
-                let fetched = if changed {
-                    fetch(&context, kind, key, &heads, &mut chunks).await
-                } else {
-                    Ok(())
+                let mut listed = watched.keys.iter();
+                let is_stored =
+                    |listed: &&store::Listed| listed.key == key && listed.revision > Revision(0);
+                let listed = listed.find(is_stored);
+                let fetched = match listed {
+                    Some(listed) => {
+                        let source = Source {
+                            kind,
+                            key,
+                            revision: listed.revision,
+                        };
+                        fetch(&context, &source, &heads, &mut chunks).await
+                    }
+                    None => Ok(()),
                 };
                 fetched.map(|()| after = watched.generation)
             }
@@ -80,16 +89,25 @@
     }
 }
 
+/// A document in the store as a watch has reported it.
+struct Source<'a> {
+    kind: Kind,
+    key: &'a str,
+    revision: Revision,
+}
+
 /// Reads a document, fetching only the chunks that are not known from the version before.
 async fn fetch(
     context: &Context,
-    kind: Kind,
-    key: &str,
+    source: &Source<'_>,
     heads: &Heads,
     chunks: &mut Vec<Chunk>,
 ) -> Result<(), Failure> {
-    let Some(value) = context.pace.call("get", context.client.get(key)).await? else {
-        return Ok(());
+    let get = context.client.get(source.key);
+    let value = context.pace.call("get", get).await?;
+    // The watch reports each change once, so a read that is behind it has to be repeated.
+    let Some(value) = value.filter(|value| value.revision >= source.revision) else {
+        return Err(stale());
     };
     let Some(head) = decode(&value) else {
         return Ok(());
@@ -98,8 +116,10 @@
     for address in document::missing(&head, &known) {
         let key = address.store_key();
         let stored = context.pace.call("get", context.client.get(&key)).await?;
-        // A missing chunk means that a newer version has replaced the head meanwhile; the next watch reports it.
-        let Some(stored) = stored else { return Ok(()) };
+        // Either a newer version has replaced the head meanwhile, or the read is behind the write of the chunk.
+        let Some(stored) = stored else {
+            return Err(stale());
+        };
         if let Ok(chunk) = Chunk::new(stored.bytes.to_vec()) {
             chunks.push(chunk);
         }
@@ -108,11 +128,11 @@
     let Ok(bytes) = document::join(&head, chunks) else {
         return Ok(());
     };
-    if kind == Kind::Ledger {
+    if source.kind == Kind::Ledger {
         heads.set_ledger(head, value.revision);
     }
     let received = Received {
-        kind,
+        kind: source.kind,
         bytes: bytes.into(),
         from: None,
     };
@@ -120,6 +140,13 @@
     Ok(())
 }
 
+/// Returns the failure of a read that does not show what a watch has reported.
+fn stale() -> Failure {
+    Failure::Unavailable {
+        reason: "the read is behind a change that the store has reported".to_owned(),
+    }
+}
+
 /// Decodes a head; a malformed one can't be mended by reading it again and is left until it is replaced.
 pub fn decode(value: &Value) -> Option<Head> {
     Head::decode(&value.bytes).ok()
--- a/crates/kumquat-dispatch/src/platform/write.rs
+++ b/crates/kumquat-dispatch/src/platform/write.rs
@@ -124,12 +124,14 @@
         let read = context.pace.call("get", context.client.get(LEDGER)).await;
         if let Ok(value) = read {
             let stored = value.and_then(|value| Some((decode(&value)?, value.revision)));
-            return match stored {
+            match stored {
                 Some((stored, revision)) if stored.operation == head.operation => {
-                    Some(Ok(revision))
+                    return Some(Ok(revision));
                 }
-                _ => Some(Err(())),
-            };
+                Some((stored, _)) if stored.revision >= head.revision => return Some(Err(())),
+                // The read may be behind, or the write may still be under way.
+                _ => {}
+            }
         }
         if !context.sleep(std::time::Duration::from_millis(100)).await {
             return None;
