Let a joining VM serve callers during a store outage

Cause: the entry relied on its bundle only if the dispatch process had authority or had heard the store. A VM that starts during a store outage has neither, because it can't become a member, and refused all open routes with 503 although its peers had given it both documents. Change: hearing a majority of the members counts as word from the cell.

--- a/crates/kumquat-coordination/src/authority.rs
+++ b/crates/kumquat-coordination/src/authority.rs
@@ -242,6 +242,23 @@
         promises.get(others).copied()
     }
 
+    /// Returns since when a majority of the membership, this VM included if it is a member, has been heard.
+    ///
+    /// A VM that is not a member yet has no authority, but it hears what the cell has in force.
+    #[must_use]
+    pub fn majority_heard(&self) -> Option<Instant> {
+        let own = usize::from(self.is_member());
+        let needed = self.membership.majority().saturating_sub(own);
+        let mut heard: Vec<Instant> = self
+            .peers
+            .iter()
+            .filter(|peer| self.is_listed(&peer.holder))
+            .filter_map(|peer| peer.heard)
+            .collect();
+        heard.sort_unstable_by(|left, right| right.cmp(left));
+        heard.get(needed.checked_sub(1)?).copied()
+    }
+
     /// Returns whether this VM has authority; to be checked at the moment of acting.
     #[must_use]
     pub fn may_act(&self, now: Instant) -> bool {
--- a/crates/kumquat-dispatch/src/control.rs
+++ b/crates/kumquat-dispatch/src/control.rs
@@ -404,7 +404,8 @@
         let heard = if self.authority.may_act(now) {
             Some(now)
         } else {
-            self.store_heard
+            // A VM that joins while the store is out learns of withdrawn caller keys from the members.
+            self.store_heard.max(self.authority.majority_heard())
         };
         let Some(left) = heard.map(|heard| now.until(heard + FRESHNESS)) else {
             return;
