Send the requests of a silent owner to its successor

Cause: requests that waited for a frozen upstream, or ran on it, stayed there until their deadline of 2 s, although its slots had moved after about 1 s; further ones were still queued there until its grant lapsed. Conclusion: requests under way follow their key.

--- a/crates/kumquat-coordination/src/dispatch/handover.rs
+++ b/crates/kumquat-coordination/src/dispatch/handover.rs
@@ -1,6 +1,9 @@
-//! The `handover` module tells when a group may be handed over to another VM.
+//! The `handover` module provides what a group does when its work goes elsewhere: to another VM or another upstream.
 
-use super::Group;
+use kumquat_state::clock::Instant;
+use kumquat_state::ident;
+
+use super::{Action, Group, Reason};
 
 impl Group {
     /// Returns whether attempts run on an upstream that is cold.
@@ -13,4 +16,25 @@
             .iter()
             .any(|server| server.running > 0 && server.ramp.is_cold())
     }
+
+    /// Ends all requests for one owner of keys that is lost, so that they can be sent to its successor.
+    ///
+    /// Attempts that are still running may have run.
+    pub fn abandon(&mut self, now: Instant, upstream: &ident::Upstream, out: &mut Vec<Action>) {
+        let ids: Vec<u64> = self
+            .index
+            .iter()
+            .filter(|(_, handle)| {
+                let request = &self.requests[*handle as usize];
+                request.target.as_ref() == Some(upstream) && !request.is_delivered
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ids {
+            if let Some(handle) = self.handle(id) {
+                self.end(handle, Reason::NoUpstream, out);
+            }
+        }
+        self.pump(now, out);
+    }
 }
--- a/crates/kumquat-dispatch/src/group.rs
+++ b/crates/kumquat-dispatch/src/group.rs
@@ -326,6 +326,9 @@
         let now = clock::now();
         let mut actions = Vec::new();
         self.group.tick(now, &mut actions);
+        for upstream in self.ownership.unreachable(now) {
+            self.group.abandon(now, &upstream, &mut actions);
+        }
         self.apply(actions);
         self.ownership
             .tick(now, &self.context.permit, &self.upstreams);
--- a/crates/kumquat-dispatch/src/group/ownership.rs
+++ b/crates/kumquat-dispatch/src/group/ownership.rs
@@ -169,6 +169,10 @@
             .binary_search_by_key(&key, |placement| placement.key)
             .is_ok();
         let owner = self.find(&table.owner(key)?.upstream)?;
+        // Its grant may last a little longer, but a request would wait there for nothing.
+        if self.is_unreachable(owner, now) {
+            return None;
+        }
         owner.grantor.pass(now, target)?;
         let upstream = owner.upstream.clone();
         self.load.count(target.slot.0, is_placed);
@@ -293,22 +297,23 @@
         (held_slots, held_keys, is_moving)
     }
 
-    fn unreachable(&self, now: Instant) -> Vec<ident::Upstream> {
-        // A new holder has heard nobody yet.
-        if now.saturating_since(self.started) < UNREACHABLE {
-            return Vec::new();
-        }
-        let silent = |owner: &&Owner| {
-            let since = owner.grantor.heard_at().unwrap_or(owner.known_since);
-            owner.checks_grants && now.saturating_since(since) > UNREACHABLE
-        };
+    /// Returns the upstreams that have not replied for a while.
+    pub fn unreachable(&self, now: Instant) -> Vec<ident::Upstream> {
         self.owners
             .iter()
-            .filter(silent)
+            .filter(|owner| self.is_unreachable(owner, now))
             .map(|owner| owner.upstream.clone())
             .collect()
     }
 
+    fn is_unreachable(&self, owner: &Owner, now: Instant) -> bool {
+        let since = owner.grantor.heard_at().unwrap_or(owner.known_since);
+        // A new holder has heard nobody yet.
+        now.saturating_since(self.started) >= UNREACHABLE
+            && owner.checks_grants
+            && now.saturating_since(since) > UNREACHABLE
+    }
+
     fn take_owner(&mut self, name: &ident::Upstream, checks_grants: bool) -> Owner {
         match self.position(name) {
             Ok(index) if self.owners[index].checks_grants == checks_grants => {
