--- a/crates/kumquat-dispatch/src/control.rs
+++ b/crates/kumquat-dispatch/src/control.rs
@@ -412,12 +412,9 @@
 
     /// Tells the entries how long they may rely on the bundle.
     fn tell_entries(&mut self, now: Instant) {
-        let promise = clock::shortened(authority::Options::default().promise);
-        let peers_heard = self
-            .authority
-            .valid_until()
-            .map(|until| (until - promise).min(now));
-        let Some(heard) = peers_heard.max(self.store_heard) else {
+        // A VM that joins while the store is out learns of withdrawn caller keys from the members.
+        let heard = self.store_heard.max(self.authority.majority_heard());
+        let Some(heard) = heard else {
             return;
         };
         let left = now.until(heard + FRESHNESS);
