Measure unavailable time, churn and imbalance of keys

The aims for unavailable time, churn and imbalance had no measurement. Add the subcommand ownership: probes of the keys of one owner while it dies, freezes or moves, its dispatching VM dies or the store is out, with a round without an event to show the resolution; the slot table against static ranges, rendezvous and jump hashing; a lease per key as a model in virtual time. Loads now keep the reasons of refusals, and cold overload that no answer could have shown is listed apart.

--- a/crates/kumquat-bench/src/cpu.rs
+++ b/crates/kumquat-bench/src/cpu.rs
@@ -1,7 +1,8 @@
 //! The `cpu` module provides the CPU time, the memory and the limits of this process.
 
 use std::fs;
-use std::time::Duration;
+use std::hint::black_box;
+use std::time::{Duration, Instant};
 
 use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 
@@ -50,3 +51,15 @@
     };
     current.unwrap_or(u64::MAX)
 }
+
+/// Returns the mean time of one call in nanoseconds; the first tenth of the calls warms the caches.
+pub fn nanos_of<T>(calls: u32, mut call: impl FnMut(u32) -> T) -> f64 {
+    for number in 0..calls / 10 {
+        black_box(call(number));
+    }
+    let begun = Instant::now();
+    for number in 0..calls {
+        black_box(call(number));
+    }
+    begun.elapsed().as_secs_f64() * 1e9 / f64::from(calls.max(1))
+}
--- a/crates/kumquat-bench/src/lib.rs
+++ b/crates/kumquat-bench/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod cpu;
 pub mod load;
+pub mod ownership;
 pub mod path;
 pub mod policy;
 pub mod report;
--- a/crates/kumquat-bench/src/load.rs
+++ b/crates/kumquat-bench/src/load.rs
@@ -81,6 +81,8 @@
     pub all: Vec<Sample>,
     /// Requests that were not sent, because too many were on the way.
     pub overrun: u64,
+    /// Why requests were not answered: tag, reason and number of requests, the warm-up included.
+    pub reasons: Vec<(usize, String, u64)>,
 }
 
 impl Samples {
@@ -105,20 +107,21 @@
         self
     }
 
-    /// Returns a line on requests that were neither answered nor refused for the rate.
+    /// Returns a line on the requests of the whole load that were not answered: tag, reason and number.
     #[must_use]
     pub fn failures(&self) -> String {
-        let mut kinds: Vec<(Verdict, u64)> = Vec::new();
-        for sample in self.all.iter().filter(|sample| !sample.is_answered()) {
-            match kinds
-                .iter_mut()
-                .find(|(verdict, _)| *verdict == sample.verdict)
-            {
-                Some((_, count)) => *count += 1,
-                None => kinds.push((sample.verdict, 1)),
-            }
+        format!("{:?}, overrun {}", self.reasons, self.overrun)
+    }
+
+    fn count_reason(&mut self, tag: usize, reason: String) {
+        match self
+            .reasons
+            .iter_mut()
+            .find(|(other, known, _)| (*other, known.as_str()) == (tag, reason.as_str()))
+        {
+            Some((_, _, count)) => *count += 1,
+            None => self.reasons.push((tag, reason, 1)),
         }
-        format!("{kinds:?}, overrun {}", self.overrun)
     }
 }
 
@@ -234,7 +237,7 @@
     due: Duration,
     permit: OwnedSemaphorePermit,
 ) {
-    let verdict = ask(&shared, &shot).await;
+    let (verdict, reason) = ask(&shared, &shot).await;
     let sample = Sample {
         at: due,
         latency: begun.elapsed().saturating_sub(due),
@@ -242,13 +245,19 @@
         team: shot.team,
         verdict,
     };
-    shared.samples().all.push(sample);
+    let mut samples = shared.samples();
+    samples.all.push(sample);
+    if let Some(reason) = reason {
+        samples.count_reason(shot.tag, reason);
+    }
+    drop(samples);
     drop(permit);
 }
 
-async fn ask(shared: &Shared, shot: &Shot) -> Verdict {
+async fn ask(shared: &Shared, shot: &Shot) -> (Verdict, Option<String>) {
+    let broken = |why: &str| (Verdict::Broken, Some(why.to_owned()));
     let Some(to) = shot.to else {
-        return Verdict::Broken;
+        return broken("no address");
     };
     let url = format!("http://{to}{}", shot.path);
     let mut request = if shot.post {
@@ -260,21 +269,25 @@
         request = request.bearer_auth(key);
     }
     let Ok(response) = request.send().await else {
-        return Verdict::Broken;
+        return broken("no answer");
     };
     let status = response.status();
     let header = |name: &str| Some(response.headers().get(name)?.to_str().ok()?.to_owned());
     let not_run = header("kumquat-outcome").as_deref() == Some("not-run");
     let id = header("kumquat-request").and_then(|id| u128::from_str_radix(&id, 16).ok());
-    if response.bytes().await.is_err() {
-        return Verdict::Broken;
-    }
+    let Ok(body) = response.bytes().await else {
+        return broken("half an answer");
+    };
     if status == StatusCode::OK {
-        return Verdict::Answered;
+        return (Verdict::Answered, None);
     }
     // The observations tell whether a request that was refused as "not run" ran after all.
     if let (Some(id), Some(observations), true) = (id, &shared.observations, not_run) {
         observations.report_refusal(id);
     }
-    Verdict::Refused(status.as_u16(), not_run)
+    let body = serde_json::from_slice::<serde_json::Value>(&body).unwrap_or_default();
+    let reason = body["error"].as_str().unwrap_or("refused without a reason");
+    let certainty = if not_run { "not run" } else { "unknown" };
+    let reason = format!("{} {reason}, {certainty}", status.as_u16());
+    (Verdict::Refused(status.as_u16(), not_run), Some(reason))
 }
--- a/crates/kumquat-bench/src/main.rs
+++ b/crates/kumquat-bench/src/main.rs
@@ -1,9 +1,11 @@
 //! Measurements of kumquatpond.
 
+use std::time::Duration;
+
 use clap::Parser;
 use eyre::Result;
 use kumquat_bench::settings::{Arguments, Command};
-use kumquat_bench::{path, policy, settings};
+use kumquat_bench::{ownership, path, policy, settings};
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -15,6 +17,9 @@
     let report = match &arguments.command {
         Command::Path => path::run(settings)?,
         Command::Policy { scenarios } => policy::run(settings, scenarios)?,
+        Command::Ownership { outage_seconds } => {
+            ownership::run(settings, Duration::from_secs(*outage_seconds))?
+        }
     };
     report.publish(&settings.out)
 }
--- a/crates/kumquat-bench/src/policy/cold.rs
+++ b/crates/kumquat-bench/src/policy/cold.rs
@@ -34,7 +34,7 @@
     report: &mut Report,
 ) -> Result<()> {
     let length = settings.length(30, 8);
-    let before = live.deployment.observations.report().cold_overload;
+    let before = live.deployment.observations.report();
     let load = live.load(LOAD, length);
     let begun = Instant::from_std(load.begun);
     sleep_until(begun + length / 4).await;
@@ -49,13 +49,17 @@
     }
     let warm = wait_until_warm(&upstreams, begun + length).await;
     let samples = load.finish().await;
-    let after = live.deployment.observations.report().cold_overload;
+    let after = live.deployment.observations.report();
 
     let scenario = format!("{} cold start of {name}", live.firm);
     let place = (scenario.as_str(), "router");
     let measure = "above what the cold upstreams bear";
     let bound = Some(Bound::AtMost(0.0));
-    report.add(place, measure, (float(after - before), "req"), bound);
+    let above = after.cold_overload - before.cold_overload;
+    report.add(place, measure, (float(above), "req"), bound);
+    let unshown = after.cold_overload_unshown - before.cold_overload_unshown;
+    let measure = "of these, before any answer showed it";
+    report.add(place, measure, (float(unshown), "req"), None);
     let time = warm.map_or(f64::NAN, |time| time.as_secs_f64());
     report.add(place, "time to full service", (time, "s"), None);
     report.note(format!("{scenario}: {}", samples.failures()));
--- a/crates/kumquat-bench/src/settings.rs
+++ b/crates/kumquat-bench/src/settings.rs
@@ -57,6 +57,12 @@
         /// Scenarios to run; all without any.
         scenarios: Vec<Scenario>,
     },
+    /// Unavailable time of keys, churn, imbalance and lookup cost, against simpler tables.
+    Ownership {
+        /// Length of the store outage.
+        #[arg(long, default_value_t = 30)]
+        outage_seconds: u64,
+    },
 }
 
 /// Prints what a run depends on.
--- a/crates/kumquat-bench/tests/stats.rs
+++ b/crates/kumquat-bench/tests/stats.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use clap::Parser;
+use kumquat_bench::load::{Sample, Samples, Verdict};
+use kumquat_bench::ownership::probe::longest_wait;
 use kumquat_bench::report::Bound;
 use kumquat_bench::settings::Arguments;
 use kumquat_bench::stats::{collect, fit, millis, ratio};
@@ -59,3 +61,51 @@
     assert_eq!(quick.settings.out.to_str(), Some("x"));
     Arguments::try_parse_from(["kumquat-bench"]).expect_err("a missing measurement");
 }
+
+fn sample(at: u64, latency: u64, verdict: Verdict) -> Sample {
+    Sample {
+        at: Duration::from_millis(at),
+        latency: Duration::from_millis(latency),
+        tag: 0,
+        team: 0,
+        verdict,
+    }
+}
+
+/// Guards against unavailable time that hides behind refusals or behind slow answers.
+#[test]
+fn unavailable_time_spans_refusals_and_slow_answers() {
+    let refused = Verdict::Refused(503, true);
+    let all = vec![
+        sample(0, 1, Verdict::Answered),
+        sample(20, 1, refused),
+        sample(40, 300, Verdict::Answered),
+        sample(60, 200, Verdict::Answered),
+        sample(300, 1, Verdict::Answered),
+    ];
+
+    let samples = Samples {
+        all,
+        ..Samples::default()
+    };
+
+    // The caller of the refused request would have had its answer at 260 ms at the earliest.
+    let wait = longest_wait(&samples, 0, Duration::ZERO);
+    assert_eq!(wait, Some(Duration::from_millis(240)));
+}
+
+/// Guards against a key that counts as available although it was never served again.
+#[test]
+fn keys_that_are_never_served_again_have_no_finite_wait() {
+    let all = vec![
+        sample(0, 1, Verdict::Answered),
+        sample(20, 1, Verdict::Broken),
+    ];
+
+    let samples = Samples {
+        all,
+        ..Samples::default()
+    };
+
+    assert_eq!(longest_wait(&samples, 0, Duration::ZERO), None);
+}
