--- a/crates/kumquat-bench/src/lib.rs
+++ b/crates/kumquat-bench/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod path;
 pub mod policy;
 pub mod report;
+pub mod scale;
 pub mod settings;
 pub mod stats;
--- a/crates/kumquat-bench/src/main.rs
+++ b/crates/kumquat-bench/src/main.rs
@@ -5,7 +5,7 @@
 use clap::Parser;
 use eyre::Result;
 use kumquat_bench::settings::{Arguments, Command};
-use kumquat_bench::{ownership, path, policy, settings};
+use kumquat_bench::{ownership, path, policy, scale, settings};
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -17,6 +17,7 @@
     let report = match &arguments.command {
         Command::Path => path::run(settings)?,
         Command::Policy { scenarios } => policy::run(settings, scenarios)?,
+        Command::Scale => scale::run(settings)?,
         Command::Ownership { outage_seconds } => {
             ownership::run(settings, Duration::from_secs(*outage_seconds))?
         }
--- a/crates/kumquat-bench/src/settings.rs
+++ b/crates/kumquat-bench/src/settings.rs
@@ -57,6 +57,8 @@
         /// Scenarios to run; all without any.
         scenarios: Vec<Scenario>,
     },
+    /// Costs of control and of decisions by the number of VMs, with slopes.
+    Scale,
     /// Unavailable time of keys, churn, imbalance and lookup cost, against simpler tables.
     Ownership {
         /// Length of the store outage.
