--- a/crates/kumquat-bench/src/lib.rs
+++ b/crates/kumquat-bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod path;
 pub mod policy;
 pub mod report;
+pub mod rollout;
 pub mod scale;
 pub mod settings;
 pub mod stats;
--- a/crates/kumquat-bench/src/main.rs
+++ b/crates/kumquat-bench/src/main.rs
@@ -5,7 +5,7 @@
 use clap::Parser;
 use eyre::Result;
 use kumquat_bench::settings::{Arguments, Command};
-use kumquat_bench::{ownership, path, policy, scale, settings};
+use kumquat_bench::{ownership, path, policy, rollout, scale, settings};
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -18,6 +18,7 @@
         Command::Path => path::run(settings)?,
         Command::Policy { scenarios } => policy::run(settings, scenarios)?,
         Command::Scale => scale::run(settings)?,
+        Command::Rollout => rollout::run(settings)?,
         Command::Ownership { outage_seconds } => {
             ownership::run(settings, Duration::from_secs(*outage_seconds))?
         }
--- a/crates/kumquat-bench/src/settings.rs
+++ b/crates/kumquat-bench/src/settings.rs
@@ -59,6 +59,8 @@
     },
     /// Costs of control and of decisions by the number of VMs, with slopes.
     Scale,
+    /// Time until configuration is in force everywhere, and its cost to the store.
+    Rollout,
     /// Unavailable time of keys, churn, imbalance and lookup cost, against simpler tables.
     Ownership {
         /// Length of the store outage.
