--- a/crates/kumquat-bench/src/lib.rs
+++ b/crates/kumquat-bench/src/lib.rs
@@ -5,8 +5,11 @@
 
 pub mod cpu;
 pub mod load;
+pub mod ownership;
 pub mod path;
 pub mod policy;
 pub mod report;
+pub mod rollout;
+pub mod scale;
 pub mod settings;
 pub mod stats;
--- a/crates/kumquat-bench/src/settings.rs
+++ b/crates/kumquat-bench/src/settings.rs
@@ -57,6 +57,16 @@
         /// Scenarios to run; all without any.
         scenarios: Vec<Scenario>,
     },
+    /// Costs of control and of decisions by the number of VMs, with slopes.
+    Scale,
+    /// Time until configuration is in force everywhere, and its cost to the store.
+    Rollout,
+    /// Unavailable time of keys, churn, imbalance and lookup cost, against simpler tables.
+    Ownership {
+        /// Length of the store outage.
+        #[arg(long, default_value_t = 30)]
+        outage_seconds: u64,
+    },
 }
 
 /// Prints what a run depends on.
