Refuse targets that leave their route by dot segments

Change: the entry refuses targets with dot segments, also percent-encoded or between backslashes, and the upstreams' own /grant path, with 400 target-path; the upstream client refuses them as well.

Conclusion: no target reaches another path than the one that was checked.

--- a/crates/kumquat-entry/src/gateway.rs
+++ b/crates/kumquat-entry/src/gateway.rs
@@ -13,6 +13,7 @@
 use kumquat_state::clock;
 use kumquat_state::hash;
 use kumquat_state::secret::Pepper;
+use kumquat_transport::upstream::is_plain;
 
 use crate::admission::Admission;
 use crate::answer::{REQUEST_HEADER, Refusal};
@@ -165,7 +166,7 @@
                 BUSY_RETRY,
             ));
         }
-        self.check_size(&request)?;
+        self.check(&request)?;
         let bundle = shared
             .config
             .bundle()
@@ -273,7 +274,8 @@
             .map_or_else(Refusal::key_failures, |()| rejection.into())
     }
 
-    fn check_size(&self, request: &Request) -> Result<(), Refusal> {
+    /// Checks all of a request that needs no configuration.
+    fn check(&self, request: &Request) -> Result<(), Refusal> {
         let limits = &self.shared.limits;
         let headers: usize = request
             .headers()
@@ -305,6 +307,14 @@
                 "the path and query are too long",
             ));
         }
+        let path = request.uri().path();
+        if !is_plain(path) {
+            return Err(Refusal::invalid(
+                StatusCode::BAD_REQUEST,
+                "target-path",
+                "the path may not contain dot segments or name the upstream's own endpoints",
+            ));
+        }
         if body > limits.body {
             return Err(refuse_body(Problem::TooLarge, Outcome::NotRun));
         }
--- a/crates/kumquat-transport/src/upstream.rs
+++ b/crates/kumquat-transport/src/upstream.rs
@@ -19,10 +19,12 @@
 
 mod failure;
 mod grant;
+mod target;
 
 pub(crate) use failure::chain;
 pub use failure::{Error, Failure};
 pub use grant::{Grant, GrantError, Granted, Key, Span};
+pub use target::is_plain;
 
 /// Headers that concern one connection only and are never passed on (RFC 9110, section 7.6.1).
 const CONNECTION_HEADERS: [&str; 8] = [
@@ -310,6 +312,10 @@
     /// Returns a [`Failure`] that tells whether the request may have run. An answer that says that the request did not
     /// run is [`Failure::Shed`].
     pub async fn send(&self, mut call: Call) -> Result<Answer, Failure> {
+        // The entry refuses such targets; here they would reach another path than the one that was checked.
+        if !is_plain(&call.path) {
+            return Err(Failure::not_connected("the target would be altered"));
+        }
         let deadline = Instant::now() + call.time_left;
         let permit = self.permit(deadline).await?;
 
