--- a/crates/kumquat-bench/src/scale/cost.rs
+++ b/crates/kumquat-bench/src/scale/cost.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use kumquat_coordination::balance::{self, Balance, Candidate};
-use kumquat_coordination::coordinator::{self, Coordinator, Step, View};
+use kumquat_coordination::coordinator::{self, Confirmation, Coordinator, Step, View};
 use kumquat_coordination::dispatch::{self, Action, Arrival, Group, Outcome, Upstream};
 use kumquat_coordination::limit::{Ask, Issuer, Share};
 use kumquat_state::bundle::{self, Bundle, Class, Kind};
 use kumquat_state::clock::Instant;
 use kumquat_state::hash;
-use kumquat_state::ident::{Epoch, Revision, Slot};
+use kumquat_state::ident::{Epoch, Slot};
 use kumquat_state::ledger::{Holder, Ledger, Member, Membership};
 use kumquat_state::slots::{Owner, Range, Table};
 
@@ -132,9 +132,13 @@
         vm: member.vm.clone(),
         incarnation: member.incarnation,
     };
-    let revisions: Vec<(Holder, Revision)> = live
+    let confirmations: Vec<Confirmation> = live
         .iter()
-        .map(|member| (holder(member), ledger.revision))
+        .map(|member| Confirmation {
+            holder: holder(member),
+            revision: ledger.revision,
+            acting: Vec::new(),
+        })
         .collect();
     let acting = ledger.roles.iter();
     let groups: Vec<coordinator::Group> = acting
@@ -157,7 +161,7 @@
         is_fenced: &|_| false,
         may_change: &|_| true,
         groups: &groups,
-        revisions: &revisions,
+        confirmations: &confirmations,
         released: &[],
         loads: &[],
     };
@@ -323,7 +327,9 @@
 
 fn balance_choose(size: usize, calls: u32) -> f64 {
     let mut balance = balance(size);
-    nanos_of(calls / 10, |number| balance.choose(at(number)))
+    nanos_of(calls / 10, |number| {
+        balance.choose(at(number), Class::Ordinary)
+    })
 }
 
 fn balance_answer(size: usize, calls: u32) -> f64 {
@@ -335,6 +341,6 @@
         ..balance::Load::default()
     };
     nanos_of(calls / 10, |number| {
-        balance.on_answer(at(number), &group, Some(load));
+        balance.on_answer(at(number), &group, Class::Ordinary, Some(load));
     })
 }
