--- a/crates/kumquat-coordination/src/balance.rs
+++ b/crates/kumquat-coordination/src/balance.rs
@@ -37,10 +37,6 @@
     pub near_equal: Duration,
     /// Time after which a report counts half, so that a group that was busy long ago is tried again.
     pub half_life: Duration,
-    /// Time after which the reported service time counts half, so that a group that was slow long ago is tried again.
-    ///
-    /// Without this, a group that was cold at its last report got no request, and so no newer report, for ever.
-    pub forget: Duration,
     /// Time for which a group that has just failed is avoided.
     pub avoid: Duration,
 }
@@ -51,7 +47,6 @@
             choices: 2,
             near_equal: Duration::from_micros(500),
             half_life: Duration::from_millis(200),
-            forget: Duration::from_secs(2),
             avoid: Duration::from_millis(500),
         }
     }
@@ -164,7 +159,7 @@
     /// Returns the time that a request to a group is expected to take, with the bonus of the own data centre.
     fn cost(&self, now: Instant, class: Class, index: usize) -> Duration {
         let peer = &self.peers[index];
-        let expected = peer.candidate.distance + wait(peer, now, class, &self.options);
+        let expected = peer.candidate.distance + wait(peer, now, class, self.options.half_life);
         if peer.candidate.data_centre == self.own {
             expected
         } else {
@@ -212,10 +207,9 @@
 }
 
 /// Returns the expected time in the queue and in the upstream.
-fn wait(peer: &Peer, now: Instant, class: Class, options: &Options) -> Duration {
+fn wait(peer: &Peer, now: Instant, class: Class, half_life: Duration) -> Duration {
     let load = &peer.load;
-    let age = now.saturating_since(load.at).as_secs_f64();
-    let fading = |half_life: Duration| (-age / half_life.as_secs_f64()).exp2();
+    let age = now.saturating_since(load.at).as_secs_f64() / half_life.as_secs_f64();
     // Ordinary requests don't delay urgent ones.
     let (waiting, sent_since, in_flight) = match class {
         Class::Urgent => (load.urgent, peer.sent_since[0], peer.in_flight[0]),
@@ -225,13 +219,12 @@
             peer.in_flight[0] + peer.in_flight[1],
         ),
     };
-    let faded = f64::from(waiting + load.running) * fading(options.half_life);
+    let faded = f64::from(waiting + load.running) * (-age).exp2();
     let known = f64::from(in_flight.saturating_sub(sent_since));
     let ahead = faded.max(known) + f64::from(sent_since);
     let slots = f64::from(load.slots.max(1));
     let excess = (ahead + 1.0 - slots).max(0.0) / slots;
-    load.service_time
-        .mul_f64(fading(options.forget) * (1.0 + excess))
+    load.service_time.mul_f64(1.0 + excess)
 }
 
 fn lane(class: Class) -> usize {
