Keep no links of lost VMs and end answers that stop coming

Cause: a dispatch process sends nothing on an idle link from an entry, so that the link of a VM lost without a word stayed open for ever; and the limit on pauses within an answer at the dispatch process had no test.

Change: links have TCP keepalive (10 s, then three questions 5 s apart) on both sides; a test reads the system's timers, and another has an upstream stop within its answer while entry and deadline allow two minutes.

--- a/crates/kumquat-local/tests/callers.rs
+++ b/crates/kumquat-local/tests/callers.rs
@@ -311,6 +311,7 @@
         .await;
 
     assert_refused(&hidden, 404, "route");
+    assert_eq!(site.refused("route"), 2);
     assert_eq!(
         (hidden.status, &hidden.body),
         (unknown.status, &unknown.body),
--- a/crates/kumquat-local/tests/upstream_faults.rs
+++ b/crates/kumquat-local/tests/upstream_faults.rs
@@ -199,6 +199,24 @@
     site.finish().await;
 }
 
+/// Guards against an upstream's slot that is held until the deadline by an answer that has stopped coming.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_stops_coming_ends_before_its_deadline() {
+    let limits = Limits {
+        body_pause: Duration::from_mins(2),
+        ..Limits::default()
+    };
+    let (site, faulty) = open(Duration::from_mins(2), limits).await;
+
+    let reply = site.post("/bench/pause", "").await;
+
+    // The answer breaks off at the dispatch process, since the entry's limit and the deadline exceed the test's.
+    assert_eq!(reply.status, 200, "{reply:?}");
+    assert!(!reply.is_whole, "{reply:?}");
+    assert_eq!(faulty.count("pause"), 1, "it ran again");
+    site.finish().await;
+}
+
 /// Guards against a caller that waits for ever for an upstream that never answers.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_that_never_comes_ends_at_the_deadline() {
--- a/crates/kumquat-transport/src/link.rs
+++ b/crates/kumquat-transport/src/link.rs
@@ -9,6 +9,7 @@
 
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
+use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -35,6 +36,15 @@
 /// A peer that reads nothing for this long is taken for lost; its streams end and can be retried elsewhere.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Silence after which the system asks whether the peer is still there.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(10);
+
+/// Time between two such questions.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Questions without an answer after which the connection ends.
+const KEEPALIVE_RETRIES: u32 = 3;
+
 /// What a process needs to open or accept links.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -196,7 +206,7 @@
     }
 
     async fn negotiate(self) -> Result<Link> {
-        self.stream.set_nodelay(true).map_err(Error::connect)?;
+        set_options(&self.stream)?;
         let mut socket = tokio_tungstenite::accept_async_with_config(self.stream, Some(limits()))
             .await
             .map_err(packet_error)?;
@@ -230,7 +240,7 @@
 
 async fn connect(address: SocketAddr, options: &Options) -> Result<Link> {
     let stream = TcpStream::connect(address).await.map_err(Error::connect)?;
-    stream.set_nodelay(true).map_err(Error::connect)?;
+    set_options(&stream)?;
     let (mut socket, _) = tokio_tungstenite::client_async_with_config(
         format!("ws://{address}/peer"),
         stream,
@@ -249,6 +259,21 @@
     Ok(start(socket, session))
 }
 
+/// Sends small messages at once, and has the system notice a peer that is gone without a word.
+///
+/// A link on which nothing is expected may be silent for long. Without keepalive, the side that only answers would keep
+/// the links of lost VMs for ever.
+fn set_options(stream: &TcpStream) -> Result<()> {
+    stream.set_nodelay(true).map_err(Error::connect)?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_TIME)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_RETRIES);
+    SockRef::from(stream)
+        .set_tcp_keepalive(&keepalive)
+        .map_err(Error::connect)
+}
+
 fn limits() -> WebSocketConfig {
     WebSocketConfig::default()
         .max_message_size(Some(LIMIT))
--- a/crates/kumquat-transport/tests/link.rs
+++ b/crates/kumquat-transport/tests/link.rs
@@ -22,6 +22,11 @@
 }
 
 async fn pair() -> (Link, Link) {
+    let (_, connecting, accepting) = pair_with_port().await;
+    (connecting, accepting)
+}
+
+async fn pair_with_port() -> (u16, Link, Link) {
     let address = "127.0.0.1:0".parse().expect("a valid address");
     let listener = Listener::bind(address, options("vm-2", 9))
         .await
@@ -34,7 +39,8 @@
     let connecting = link::open(address, &options("vm-1", 9))
         .await
         .expect("connected");
-    (connecting, accepting.await.expect("no panic"))
+    let accepting = accepting.await.expect("no panic");
+    (address.port(), connecting, accepting)
 }
 
 fn message(stream: u64) -> Message {
@@ -161,3 +167,36 @@
     assert!(matches!(end, Err(Error::Cancelled)));
     assert!(!incoming.is_finished());
 }
+
+/// Returns the kinds of timers that the system runs for the connections of a port; 2 stands for keepalive.
+fn timers(port: u16) -> Vec<u8> {
+    let port = format!(":{port:04X}");
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of connections");
+    let rows = table
+        .lines()
+        .map(|line| line.split_whitespace().collect::<Vec<_>>());
+    // Columns 1 to 3 are the two addresses and the state, of which 01 is established; column 5 begins with the timer.
+    rows.filter(|row| row.len() > 5 && row[3] == "01")
+        .filter(|row| row[1].ends_with(&port) || row[2].ends_with(&port))
+        .map(|row| row[5][..2].parse().expect("a number"))
+        .collect()
+}
+
+/// Guards against links of lost VMs that are kept for ever because nothing is sent on them.
+#[tokio::test]
+async fn idle_links_have_keepalive_on_both_sides() {
+    let (port, connecting, accepting) = pair_with_port().await;
+    let begun = tokio::time::Instant::now();
+
+    // Right after the handshake another timer may still run.
+    while timers(port) != [2, 2] {
+        assert!(
+            begun.elapsed() < std::time::Duration::from_secs(30),
+            "{:?}",
+            timers(port)
+        );
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+
+    drop((connecting, accepting));
+}
