--- /dev/null
+++ b/crates/kumquat-coordination/tests/dispatch_owner_lost.rs
@@ -0,0 +1,81 @@
+//! Guards the requests of a lost owner of keys: they must neither wait for it nor be called not run if they may have run.
+
+use std::time::Duration;
+
+use kumquat_coordination::dispatch::{
+    Action, Arrival, Certainty, Group, Options, Reason, Upstream,
+};
+use kumquat_state::bundle::{Class, Kind};
+use kumquat_state::clock::Instant;
+use kumquat_state::ident;
+
+fn name(number: usize) -> ident::Upstream {
+    format!("upstream-{number}").parse().expect("a valid name")
+}
+
+fn group(count: usize) -> Group {
+    let mut group = Group::new(Kind::Keyed, Options::default(), 1);
+    let upstreams: Vec<Upstream> = (0..count)
+        .map(|number| Upstream {
+            name: name(number),
+            slots: 1,
+            cold_slots: 1,
+            cold_step: 8,
+            takes_work: true,
+        })
+        .collect();
+    group.set_upstreams(now(), &upstreams, &mut Vec::new());
+    group
+}
+
+fn now() -> Instant {
+    Instant::from_millis(1)
+}
+
+fn arrive(group: &mut Group, id: u64, target: usize) -> Vec<Action> {
+    let arrival = Arrival {
+        id,
+        team: "pilots".parse().expect("a valid name"),
+        class: Class::Ordinary,
+        idempotent: true,
+        deadline: now() + Duration::from_secs(2),
+        target: Some(name(target)),
+    };
+    let mut actions = Vec::new();
+    group.arrive(now(), arrival, &mut actions);
+    actions
+}
+
+/// Guards against requests that wait for their deadline at an upstream that answers nothing.
+#[test]
+fn requests_for_a_lost_owner_end_at_once() {
+    let mut group = group(2);
+    for (id, target) in [(1, 0), (2, 0), (3, 0), (4, 1)] {
+        arrive(&mut group, id, target);
+    }
+
+    let mut actions = Vec::new();
+    group.abandon(now(), &name(0), &mut actions);
+
+    let refused: Vec<_> = actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Refuse {
+                id,
+                reason,
+                outcome,
+                ..
+            } => Some((*id, *reason, *outcome)),
+            _ => None,
+        })
+        .collect();
+    // The first request was running on the lost owner; the fourth one has another owner.
+    let expected = [
+        (1, Reason::NoUpstream, Certainty::Unknown),
+        (2, Reason::NoUpstream, Certainty::NotRun),
+        (3, Reason::NoUpstream, Certainty::NotRun),
+    ];
+    assert_eq!(refused, expected);
+    let aborted = |action: &&Action| matches!(action, Action::Abort { .. });
+    assert_eq!(actions.iter().filter(aborted).count(), 1);
+}
--- a/crates/kumquat-local/tests/upstream_faults.rs
+++ b/crates/kumquat-local/tests/upstream_faults.rs
@@ -184,13 +184,15 @@
     sleep(Duration::from_millis(500)).await;
 
     upstream.set_draining(true);
-    sleep(Duration::from_secs(3)).await;
-    let shed = upstream.counts().shed;
+    wait_for("the upstream to shed requests", || {
+        upstream.counts().shed > 0
+    })
+    .await;
+    sleep(Duration::from_secs(2)).await;
     upstream.set_draining(false);
     sleep(Duration::from_secs(1)).await;
     let records = load.finish().await.expect("a load");
 
-    assert!(shed > 0, "the upstream has shed nothing");
     assert_all_answered(&records);
     assert_clean(&deployment);
     deployment.stop().await;
