Move the keys of lost upstreams that check no grants

Cause: an upstream counted as unreachable only if it left orders unanswered, and one that checks no grants gets none, so the keys of such an upstream stayed with it for good when it was lost. Conclusion: lost upstreams without grants are replaced; frozen ones, which accept connections, are not detected yet.

--- a/crates/kumquat-dispatch/src/group.rs
+++ b/crates/kumquat-dispatch/src/group.rs
@@ -20,6 +20,7 @@
 use crate::permit::Permit;
 
 mod attempt;
+mod failing;
 mod ownership;
 mod request;
 mod upstreams;
@@ -302,7 +303,7 @@
             }
             Ended::Attempt { attempt, outcome } => {
                 self.count_attempt(outcome);
-                self.ownership.attempt_ended(attempt);
+                self.ownership.attempt_ended(now, attempt, outcome);
                 self.upstreams.remove_attempt(attempt);
                 self.group.on_answer(now, attempt, outcome, &mut actions);
             }
@@ -326,7 +327,7 @@
         let now = clock::now();
         let mut actions = Vec::new();
         self.group.tick(now, &mut actions);
-        for upstream in self.ownership.unreachable(now) {
+        for upstream in self.ownership.silent(now) {
             self.group.abandon(now, &upstream, &mut actions);
         }
         self.apply(actions);
--- a/crates/kumquat-dispatch/src/group/ownership.rs
+++ b/crates/kumquat-dispatch/src/group/ownership.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use kumquat_coordination::dispatch::Outcome;
 use kumquat_coordination::grant::{Grantor, Grants, Key, Options, Order, Reply, Span, Target};
 use kumquat_protocol::wire;
 use kumquat_state::bundle::{Bundle, Kind, Service};
@@ -13,6 +14,7 @@
 
 use super::Context;
 use super::attempt::Ended;
+use super::failing::Failing;
 use super::upstreams::Upstreams;
 use crate::hot::{Load, Rates};
 use crate::permit::Permit;
@@ -105,6 +107,7 @@
     grantor: Grantor,
     wanted: Grants,
     known_since: Instant,
+    failing: Failing,
 }
 
 impl Ownership {
@@ -205,15 +208,18 @@
     }
 
     /// Takes note that an attempt has ended.
-    pub fn attempt_ended(&mut self, attempt: u64) {
+    pub fn attempt_ended(&mut self, now: Instant, attempt: u64, outcome: Outcome) {
         let found = self
             .attempts
             .binary_search_by_key(&attempt, |(number, _)| *number);
         let Ok(place) = found else { return };
         let (_, upstream) = self.attempts.remove(place);
-        if let Ok(index) = self.position(&upstream) {
-            self.owners[index].grantor.end(Request(u128::from(attempt)));
-        }
+        let Ok(index) = self.position(&upstream) else {
+            return;
+        };
+        let owner = &mut self.owners[index];
+        owner.failing.note(now, outcome, UNREACHABLE);
+        owner.grantor.end(Request(u128::from(attempt)));
     }
 
     /// Handles the end of an order and returns the boot id that the upstream stated.
@@ -297,16 +303,27 @@
         (held_slots, held_keys, is_moving)
     }
 
-    /// Returns the upstreams that have not replied for a while.
-    pub fn unreachable(&self, now: Instant) -> Vec<ident::Upstream> {
-        self.owners
-            .iter()
-            .filter(|owner| self.is_unreachable(owner, now))
-            .map(|owner| owner.upstream.clone())
-            .collect()
+    /// Returns the upstreams that have not replied to orders for a while.
+    ///
+    /// Their grants lapse, so that requests which still run on them can be given up.
+    pub fn silent(&self, now: Instant) -> Vec<ident::Upstream> {
+        self.names(|owner| self.is_silent(owner, now))
+    }
+
+    fn unreachable(&self, now: Instant) -> Vec<ident::Upstream> {
+        self.names(|owner| self.is_unreachable(owner, now))
+    }
+
+    fn names(&self, matches: impl Fn(&Owner) -> bool) -> Vec<ident::Upstream> {
+        let owners = self.owners.iter().filter(|owner| matches(owner));
+        owners.map(|owner| owner.upstream.clone()).collect()
     }
 
     fn is_unreachable(&self, owner: &Owner, now: Instant) -> bool {
+        self.is_silent(owner, now) || (!owner.checks_grants && owner.failing.is_lost(now))
+    }
+
+    fn is_silent(&self, owner: &Owner, now: Instant) -> bool {
         let since = owner.grantor.heard_at().unwrap_or(owner.known_since);
         // A new holder has heard nobody yet.
         now.saturating_since(self.started) >= UNREACHABLE
@@ -328,6 +345,7 @@
                 }),
                 wanted: Grants::default(),
                 known_since: clock::now(),
+                failing: Failing::default(),
             },
         }
     }
