Hold keys until broken requests have passed their deadline

Cause: for an upstream that checks no grants, a request counted as ended when its connection broke or was aborted, although the upstream may go on with it, so its key could move while the old owner still ran it. Change: such a request holds its key until its deadline.

--- a/crates/kumquat-dispatch/src/group/ownership.rs
+++ b/crates/kumquat-dispatch/src/group/ownership.rs
@@ -219,7 +219,11 @@
         };
         let owner = &mut self.owners[index];
         owner.failing.note(now, outcome, UNREACHABLE);
-        owner.grantor.end(Request(u128::from(attempt)));
+        // An upstream without grants may go on with a request whose connection is gone, until its deadline.
+        let is_over = !matches!(outcome, Outcome::Broken | Outcome::TimedOut);
+        if is_over || owner.checks_grants {
+            owner.grantor.end(Request(u128::from(attempt)));
+        }
     }
 
     /// Handles the end of an order and returns the boot id that the upstream stated.
