--- a/crates/kumquat-local/src/deployment.rs
+++ b/crates/kumquat-local/src/deployment.rs
@@ -307,7 +307,7 @@
         service_time: ServiceTime::Exponential(service.service_time),
         seed: number as u64 + 1,
         key_slots: if keyed { KEY_SLOTS } else { 0 },
-        checks_grants: keyed,
+        checks_grants: keyed && service.checks_grants,
         starts_cold: shape.starts_cold,
         ..upstream::Options::default()
     };
@@ -329,7 +329,7 @@
         cold_slots: 1,
         cold_step: 8,
         connections: service.connections,
-        checks_grants: service.kind == bundle::Kind::Keyed,
+        checks_grants: service.kind == bundle::Kind::Keyed && service.checks_grants,
         state: bundle::State::Active,
     })
 }
--- a/crates/kumquat-local/src/shape.rs
+++ b/crates/kumquat-local/src/shape.rs
@@ -40,6 +40,8 @@
     pub slots: u32,
     /// Connections that each upstream accepts.
     pub connections: u32,
+    /// Whether the upstreams of a keyed service check who gives them an order.
+    pub checks_grants: bool,
     /// Mean service time.
     pub service_time: Duration,
     /// Time within which a request has to be answered.
@@ -71,6 +73,7 @@
             upstreams,
             slots: 2,
             connections: 100,
+            checks_grants: true,
             service_time: Duration::from_millis(10),
             deadline: Duration::from_secs(2),
         };
