Record that frozen upstreams without grants keep keys

Cause: an upstream that checks no grants is judged by failed connections only, and a frozen one still accepts them. Conclusion: deadlines that pass on such an upstream have to count as failures, with the move waiting as for any other request.

--- a/crates/kumquat-local/tests/unchecked_upstreams.rs
+++ b/crates/kumquat-local/tests/unchecked_upstreams.rs
@@ -180,3 +180,21 @@
     assert_clean(&deployment);
     deployment.stop().await;
 }
+
+/// Guards against keys of a frozen upstream that stay with it because it still accepts connections.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED: frozen-unchecked-upstream"]
+async fn keys_of_a_frozen_unchecked_upstream_move() {
+    let deployment = open_unchecked(3).await;
+    let load = load(&deployment);
+
+    deployment.upstream(UPSTREAM).expect("it runs").freeze();
+    wait_for("the frozen upstream to own nothing", || {
+        !owns(&deployment, UPSTREAM)
+    })
+    .await;
+    load.finish().await.expect("a load");
+
+    assert_clean(&deployment);
+    deployment.stop().await;
+}
