--- /dev/null
+++ b/crates/kumquat-local/examples/idle.rs
@@ -0,0 +1,43 @@
+//! Shows the store calls of an idle deployment by VM, to check who watches the store and who seeks the lease.
+
+use std::time::Duration;
+
+use eyre::Result;
+use kumquat_local::{Deployment, Shape};
+use slog::{Discard, Logger, o};
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let log = Logger::root(Discard, o!());
+    let deployment = Deployment::open(&Shape::port_louis(), &log).await?;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let calls = |name: &str| deployment.store.calls_of(name);
+    show(&deployment);
+    let before: Vec<_> = deployment
+        .vms
+        .iter()
+        .map(|vm| calls(vm.name().as_str()))
+        .collect();
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    for (vm, before) in deployment.vms.iter().zip(before) {
+        let after = calls(vm.name().as_str());
+        println!("{} before {before:?} after {after:?}", vm.name());
+    }
+    show(&deployment);
+    deployment.stop().await;
+    Ok(())
+}
+
+fn show(deployment: &Deployment) {
+    for vm in &deployment.vms {
+        let Some(dispatch) = &vm.dispatch else {
+            continue;
+        };
+        for line in dispatch.metrics().render().lines() {
+            if line.starts_with("kumquat_dispatch_store_calls") || line.contains("ledger_revision ")
+            {
+                println!("{} {line}", vm.name());
+            }
+        }
+    }
+}
