Tell a team without a home apart from one above its rate

Cause: a request that waited in vain for credits was refused with 429 over-rate, although its team may be within its rate and only its home lost. Change: such refusals are 503 no-home with outcome not-run; 429 is left for what a home has said or the share knows from it. Conclusion: a refusal says no more than is known.

--- a/crates/kumquat-entry/src/admission.rs
+++ b/crates/kumquat-entry/src/admission.rs
@@ -17,6 +17,7 @@
 use kumquat_state::ledger::Name;
 use kumquat_transport::{Error, Result};
 
+use crate::answer::Refusal;
 use crate::config::Config;
 use crate::links::Pool;
 use crate::target::Memory;
@@ -73,7 +74,7 @@
 }
 
 /// What a waiting request gets: it may run, or it may be tried again later.
-type Grant = std::result::Result<(), Duration>;
+type Grant = std::result::Result<(), Refusal>;
 
 /// Takes a request that was given up out of the queue for credits.
 struct Waiter<'a> {
@@ -105,12 +106,12 @@
     ///
     /// # Errors
     ///
-    /// Returns the time after which the caller may try again if the team is above its rate.
-    pub async fn admit(&self, team: &ident::Team) -> std::result::Result<(), Duration> {
+    /// Returns the refusal if the team is above its rate, or if no home issues credits in time.
+    pub async fn admit(&self, team: &ident::Team) -> std::result::Result<(), Refusal> {
         let counter = self.counter(team);
         let (ticket, grant) = match counter.spend() {
             Spend::Done => return Ok(()),
-            Spend::Refused(retry_after) => return Err(retry_after),
+            Spend::Refused(refusal) => return Err(refusal),
             Spend::Waiting(ticket, grant) => (ticket, grant),
         };
         counter.wake.notify_one();
@@ -118,7 +119,7 @@
             counter: &counter,
             ticket,
         };
-        grant.await.unwrap_or(Err(LONGEST_WAIT))
+        grant.await.unwrap_or(Err(no_home(LONGEST_WAIT)))
     }
 
     fn counter(&self, team: &ident::Team) -> Arc<Counter> {
@@ -138,7 +139,7 @@
 
 enum Spend {
     Done,
-    Refused(Duration),
+    Refused(Refusal),
     Waiting(Ticket, oneshot::Receiver<Grant>),
 }
 
@@ -165,7 +166,10 @@
         state.idle = 0;
         let spend = match state.share.spend(clock::now()) {
             Verdict::Spent => Spend::Done,
-            Verdict::Refuse { retry_after } => Spend::Refused(retry_after),
+            Verdict::Refuse { retry_after } if state.waiting.len() >= WAITERS => {
+                Spend::Refused(no_home(retry_after))
+            }
+            Verdict::Refuse { retry_after } => Spend::Refused(Refusal::over_rate(retry_after)),
             Verdict::Wait(ticket) => {
                 let (sender, grant) = oneshot::channel();
                 state.waiting.push((ticket, sender));
@@ -180,7 +184,12 @@
     }
 
     /// Carries out what the share decided and returns what has to be sent.
-    fn apply(&self, decide: impl FnOnce(&mut Share) -> Vec<Action>) -> Vec<limit::Ask> {
+    /// Refusals of waiting requests are reported by `refuse`, because only the occasion tells why they are refused.
+    fn apply(
+        &self,
+        refuse: fn(Duration) -> Refusal,
+        decide: impl FnOnce(&mut Share) -> Vec<Action>,
+    ) -> Vec<limit::Ask> {
         let mut state = self.lock();
         let mut asks = Vec::new();
         for action in decide(&mut state.share) {
@@ -190,7 +199,7 @@
                 Action::Refuse {
                     ticket,
                     retry_after,
-                } => state.grant(ticket, Err(retry_after)),
+                } => state.grant(ticket, Err(refuse(retry_after))),
             }
         }
         asks
@@ -215,10 +224,19 @@
     }
 }
 
+/// Creates the refusal for a team whose home has issued no credit in time, which says nothing about its rate.
+fn no_home(retry_after: Duration) -> Refusal {
+    Refusal::later(
+        "no-home",
+        "the team's rate could not be checked in time",
+        retry_after,
+    )
+}
+
 /// Keeps the share of one team filled until the entry shuts down.
 async fn fill(context: Context, team: ident::Team, counter: Arc<Counter>) {
     while !context.ended.is_cancelled() {
-        let asks = counter.apply(|share| share.tick(clock::now()));
+        let asks = counter.apply(no_home, |share| share.tick(clock::now()));
         for ask in asks {
             tokio::spawn(send(
                 context.clone(),
@@ -243,7 +261,7 @@
 /// Asks the home once and hands its answer to the share.
 async fn send(context: Context, team: ident::Team, counter: Arc<Counter>, ask: limit::Ask) {
     let reply = ask_home(&context, &team, &ask).await;
-    let asks = counter.apply(|share| {
+    let asks = counter.apply(Refusal::over_rate, |share| {
         if let Ok(credit) = reply {
             return share.on_credit(clock::now(), &credit);
         }
--- a/crates/kumquat-entry/src/gateway.rs
+++ b/crates/kumquat-entry/src/gateway.rs
@@ -177,11 +177,7 @@
         let call = self
             .call(&bundle, (route, service), arrival, request, (id, caller))
             .await?;
-        shared
-            .admission
-            .admit(&call.head.team)
-            .await
-            .map_err(Refusal::over_rate)?;
+        shared.admission.admit(&call.head.team).await?;
 
         let name = call.head.service.name.clone();
         let result = shared.router.route(call, caller, answering).await;
