Form a cell anew after a majority of its VMs was restarted

Change: after 3 s in which a majority of the members has been heard under new incarnations, the coordinator writes a membership with the new ones.

--- a/crates/kumquat-coordination/src/coordinator.rs
+++ b/crates/kumquat-coordination/src/coordinator.rs
@@ -9,6 +9,7 @@
 mod keys;
 mod members;
 mod moves;
+mod reform;
 
 use kumquat_state::bundle::Bundle;
 use kumquat_state::clock::Instant;
@@ -16,6 +17,8 @@
 use kumquat_state::ledger::{self, Holder, Ledger, Member, Membership, Name};
 use kumquat_state::slots;
 
+pub use reform::reform;
+
 /// Everything that a plan is based on.
 pub struct View<'a> {
     /// The ledger as stored.
--- a/crates/kumquat-dispatch/src/control/coordination.rs
+++ b/crates/kumquat-dispatch/src/control/coordination.rs
@@ -35,6 +35,9 @@
 /// It is longer than the lease's time to live, so that the first attempt usually succeeds.
 const SILENCE: Duration = Duration::from_millis(2_200);
 
+/// Time for which a majority has to be seen restarted before the cell is formed anew; all promises end within 1.01 s.
+const REFORM_AFTER: Duration = Duration::from_secs(3);
+
 /// Time after which an unanswered request for a release is repeated.
 const RELEASE_REPEAT: Duration = Duration::from_millis(300);
 
@@ -62,6 +65,8 @@
     other: Option<(Vm, Epoch, Instant)>,
     /// What the members have in force, the latest word of each, sorted by holder.
     confirmed: Vec<Confirmation>,
+    /// Since when a majority of the members has been restarted, as far as this VM can hear.
+    lost_since: Option<Instant>,
     writing: Option<Operation>,
     next_plan: Instant,
     asked: Vec<Asked>,
@@ -82,6 +87,7 @@
             listed_leaving: Vec::new(),
             other: None,
             confirmed: Vec::new(),
+            lost_since: None,
             writing: None,
             next_plan: Instant::ORIGIN,
             asked: Vec::new(),
@@ -332,6 +338,11 @@
             next.revision = Revision(next.revision.0 + 1);
             return self.write(next, epoch, Vec::new());
         }
+        if let Some(next) = self.reformed(now, &ledger) {
+            slog::warn!(self.log, "cell formed anew: a majority of its members was restarted";
+                "membership" => next.membership.version.0);
+            return self.write(next, epoch, Vec::new());
+        }
         if let Some(step) = self.plan(now, &bundle, &ledger) {
             match step {
                 Step::Write { ledger, changes } => self.write(*ledger, epoch, changes),
@@ -340,6 +351,29 @@
         }
     }
 
+    /// Returns the ledger of a cell that has been lost for long enough for all promises to have ended.
+    fn reformed(&mut self, now: Instant, ledger: &Ledger) -> Option<Ledger> {
+        let since = self.coordination.lost_since?;
+        if now.saturating_since(since) < REFORM_AFTER {
+            return None;
+        }
+        coordinator::reform(ledger, &self.live(now))
+    }
+
+    /// Notes since when a majority of the members has been restarted.
+    fn watch_for_loss(&mut self, now: Instant) {
+        let is_lost = !self.authority.may_act(now)
+            && self
+                .documents
+                .ledger()
+                .is_some_and(|ledger| coordinator::reform(&ledger, &self.live(now)).is_some());
+        self.coordination.lost_since = if is_lost {
+            self.coordination.lost_since.or(Some(now))
+        } else {
+            None
+        };
+    }
+
     fn plan(
         &mut self,
         now: Instant,
@@ -437,13 +471,14 @@
     }
 
     /// Tells the tasks that talk to the store what is wanted of them at present.
-    pub(super) fn direct_platform(&self, now: Instant) {
+    pub(super) fn direct_platform(&mut self, now: Instant) {
+        self.watch_for_loss(now);
         let coordination = &self.coordination;
         // A coordinator that is cut off from the majority can plan nothing, but would keep the lease as long as it
         // reaches the store. Until there is a cell, nobody has authority.
         let is_formed = !self.authority.membership().members.is_empty();
         let campaign = !self.leaving
-            && (!is_formed || self.authority.may_act(now))
+            && (!is_formed || self.authority.may_act(now) || coordination.lost_since.is_some())
             && (coordination.is_coordinator() || coordination.coordinator(now).is_none());
         // Few VMs watch the store: the coordinator, one per data centre, and those whom no majority keeps up to date.
         let relaxed = self.authority.may_act(now);
