Let a successor go on above its predecessor's token

Change: rejections state the highest token seen; the acting holder adopts the next one. Conclusion: a takeover no longer waits for the newest ledger.

--- a/crates/kumquat-coordination/src/grant.rs
+++ b/crates/kumquat-coordination/src/grant.rs
@@ -88,6 +88,8 @@
     pub boot: Boot,
     /// The upstream's own clock when it handled the order.
     pub clock: Instant,
+    /// Highest fencing token that the upstream has seen.
+    pub fence: Fence,
     /// Why the order was rejected, if it was.
     pub rejection: Option<Rejection>,
     /// Targets that are no longer granted but still have running requests, sorted.
--- a/crates/kumquat-coordination/src/grant/grantor.rs
+++ b/crates/kumquat-coordination/src/grant/grantor.rs
@@ -37,6 +37,8 @@
     is_unknown: bool,
     authority_until: Option<Instant>,
     fence: Fence,
+    /// Lowest token that the upstream accepts, as far as it has told.
+    floor: Fence,
     wanted: Grants,
     /// Latest reading of the upstream's clock.
     reading: Option<Reading>,
@@ -85,6 +87,7 @@
             is_unknown: true,
             authority_until: None,
             fence: Fence::default(),
+            floor: Fence::default(),
             wanted: Grants::default(),
             reading: None,
             sent: Vec::new(),
@@ -139,13 +142,14 @@
     fn order(&mut self, now: Instant, authority_until: Instant) -> Order {
         self.next_sequence += 1;
         let sequence = self.next_sequence;
+        let fence = self.fence.max(self.floor);
         self.flight = Some((sequence, now + ORDER_TIMEOUT));
         self.next_order = now + RENEW_EVERY;
         let Some(reading) = self.reading else {
             // The first order only asks for boot id and clock.
             self.sent.push(Sent {
                 sequence,
-                fence: self.fence,
+                fence,
                 grants: Grants::default(),
                 at: now,
                 valid_until: now,
@@ -153,7 +157,7 @@
             });
             return Order {
                 sequence,
-                fence: self.fence,
+                fence,
                 boot: None,
                 grants: Grants::default(),
                 expires: Instant::ORIGIN,
@@ -166,7 +170,7 @@
         let lifetime = LIFETIME.min(authority);
         self.sent.push(Sent {
             sequence,
-            fence: self.fence,
+            fence,
             grants: self.wanted.clone(),
             at: now,
             valid_until: reading.asked + clock::shortened(lifetime),
@@ -174,7 +178,7 @@
         });
         Order {
             sequence,
-            fence: self.fence,
+            fence,
             boot: Some(reading.boot),
             grants: self.wanted.clone(),
             expires: reading.clock + lifetime,
@@ -221,7 +225,10 @@
             // The order of a higher fencing token has replaced whatever this grantor had granted.
             self.sent.clear();
             self.accepted = None;
-            self.next_order = now + RENEW_EVERY;
+            // A successor that took over with an older ledger has a lower token than its predecessor used. Being the only
+            // VM that may act, it goes on above that; the next holder list has a higher token than both.
+            self.floor = self.floor.max(Fence(reply.fence.0.saturating_add(1)));
+            self.next_order = now + RETRY_AFTER;
         } else {
             self.sent.remove(index);
             self.next_order = now;
--- a/crates/kumquat-coordination/src/grant/held.rs
+++ b/crates/kumquat-coordination/src/grant/held.rs
@@ -77,6 +77,7 @@
             sequence: order.sequence,
             boot: self.boot,
             clock: now,
+            fence: self.fence,
             rejection,
             finishing,
         }
--- a/crates/kumquat-coordination/tests/grant.rs
+++ b/crates/kumquat-coordination/tests/grant.rs
@@ -69,6 +69,33 @@
     grantor
 }
 
+/// Guards against a successor that took over with an older ledger, and so with a lower token than its predecessor used,
+/// and whose upstream rejects it for as long as no newer ledger can be had.
+#[test]
+fn acting_holder_goes_on_above_the_token_of_its_predecessor() {
+    let mut held = Held::new(Boot(7));
+    let wanted = slots(&[1]);
+    let later = Order {
+        grants: wanted.clone(),
+        ..order(9, 512, 7, at(800))
+    };
+    held.on_order(at(0), &later);
+    let mut successor = Grantor::new(options(true));
+
+    let mut passes = false;
+    for millis in (1_000..2_000).step_by(10) {
+        let now = at(millis);
+        if let Some(order) = successor.tick(now, Some(now + AUTHORITY), Fence(257), &wanted) {
+            let reply = held.on_order(now, &order);
+            successor.on_reply(now, &reply);
+        }
+        passes |= successor.pass(now, target(1)).is_some();
+    }
+
+    assert!(passes, "the upstream never took an order");
+    assert!(held.owns(at(2_000), target(1)));
+}
+
 /// Guards against an upstream that obeys an earlier holder, an order for an earlier run, or a late order.
 #[test]
 fn upstream_rejects_what_is_not_in_force() {
--- a/crates/kumquat-transport/src/upstream/grant.rs
+++ b/crates/kumquat-transport/src/upstream/grant.rs
@@ -146,6 +146,7 @@
             sequence,
             boot: Boot(self.boot),
             clock: Instant::from_millis(self.clock_ms),
+            fence: self.fence,
             rejection: self.rejection.map(|refused| match refused {
                 Refused::ForeignBoot => Rejection::ForeignBoot,
                 Refused::LowerFence => Rejection::LowerFence,
