Use the shared store client and stand-in in kumquatctl

Cause: kumquatctl had a store client and a test store of its own, which could differ from those that the daemons use and are tested with. Change: it calls kumquat_transport::store::Client and keeps only its retries of reads; the tests run against the stand-in, which can now limit lost answers to one key and start an outage with a lost answer. The limit of 4 MB per answer moves into the shared client, with a test.

--- a/crates/kumquat-standins/src/store.rs
+++ b/crates/kumquat-standins/src/store.rs
@@ -142,6 +142,12 @@
         lock(&self.core.state).get(key, false)
     }
 
+    /// Writes a value past all faults and limits, whatever its present revision.
+    pub fn set(&self, key: &str, value: impl Into<Bytes>) {
+        _ = lock(&self.core.state).put(key, Some(value.into()), None);
+        self.core.changed.send_modify(|count| *count += 1);
+    }
+
     /// Returns the switches of the connections.
     #[must_use]
     pub fn gate(&self) -> &Gate {
@@ -203,9 +209,11 @@
         if kind == Kind::Read {
             return self.read(&request, &client).await;
         }
+        let key = key_of(request.uri().path(), "/v1/kv/").map(str::to_owned);
         let response = self.write(request).await;
         // The answer is lost only after the write has taken effect; refused writes are answered.
-        let lost = response.status().is_success() && lock(&self.state).lose_answer() == Lost::Yes;
+        let lost = response.status().is_success()
+            && lock(&self.state).lose_answer(key.as_deref()) == Lost::Yes;
         if lost && let Some(caller) = caller {
             gate.cut(caller);
         }
--- a/crates/kumquat-standins/src/store/state.rs
+++ b/crates/kumquat-standins/src/store/state.rs
@@ -26,6 +26,10 @@
     pub lose_answers: u32,
     /// Every write of this ordinal takes effect but gets no answer; 0 for none.
     pub lose_every: u32,
+    /// Limits lost answers to writes of this key.
+    pub lose_key: Option<String>,
+    /// Starts an outage together with the next lost answer.
+    pub outage_after_loss: bool,
     /// Answers reads of single keys with the previous value.
     pub stale_reads: bool,
 }
@@ -180,19 +184,22 @@
         Ok(())
     }
 
-    /// Decides whether the answer of a write that has taken effect is lost.
-    pub(super) fn lose_answer(&mut self) -> Lost {
+    /// Decides whether the answer of a write that has taken effect is lost; `key` is none for lease calls.
+    pub(super) fn lose_answer(&mut self, key: Option<&str>) -> Lost {
+        if self.faults.lose_key.is_some() && self.faults.lose_key.as_deref() != key {
+            return Lost::No;
+        }
         self.effective_writes += 1;
+        let every = u64::from(self.faults.lose_every);
         if self.faults.lose_answers > 0 {
             self.faults.lose_answers -= 1;
-            return Lost::Yes;
+        } else if every == 0 || !self.effective_writes.is_multiple_of(every) {
+            return Lost::No;
         }
-        let every = u64::from(self.faults.lose_every);
-        if every > 0 && self.effective_writes.is_multiple_of(every) {
-            Lost::Yes
-        } else {
-            Lost::No
+        if std::mem::take(&mut self.faults.outage_after_loss) {
+            self.faults.outage = true;
         }
+        Lost::Yes
     }
 
     pub(super) fn calls(&self) -> Calls {
--- a/crates/kumquat-transport/src/store.rs
+++ b/crates/kumquat-transport/src/store.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use kumquat_state::ident;
 use reqwest::{Method, RequestBuilder, Response, StatusCode};
 use serde::de::DeserializeOwned;
@@ -20,6 +20,8 @@
 pub const VALUE_LIMIT: usize = 1 << 20;
 /// Longest key in bytes.
 pub const KEY_LIMIT: usize = 256;
+/// Longest answer in bytes; a listing of 10,000 chunks takes about 1 MB.
+const ANSWER_LIMIT: usize = 4 << 20;
 
 /// Properties of a client.
 #[derive(Clone, Debug)]
@@ -311,14 +313,13 @@
         extra: Duration,
     ) -> Result<(Head, Bytes), Failure> {
         let answer = async {
-            let response = request.send().await?;
+            let response = request.send().await.map_err(|error| Failure::of(&error))?;
             let head = Head::of(&response);
-            Ok((head, response.bytes().await?))
+            Ok((head, body(response).await?))
         };
         let answer = tokio::time::timeout(self.timeout + extra, answer).await;
-        let (head, bytes) = answer
-            .map_err(|_elapsed| Failure::timed_out(self.timeout + extra))?
-            .map_err(|error| Failure::of(&error))?;
+        let (head, bytes) =
+            answer.map_err(|_elapsed| Failure::timed_out(self.timeout + extra))??;
         match head.status {
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
                 Err(Failure::unavailable(head.status))
@@ -378,6 +379,23 @@
     }
 }
 
+async fn body(mut response: Response) -> Result<Bytes, Failure> {
+    let mut bytes = BytesMut::new();
+    while let Some(part) = response
+        .chunk()
+        .await
+        .map_err(|error| Failure::of(&error))?
+    {
+        if bytes.len() + part.len() > ANSWER_LIMIT {
+            return Err(Failure::unknown(&format!(
+                "the answer has more than {ANSWER_LIMIT} bytes"
+            )));
+        }
+        bytes.extend_from_slice(&part);
+    }
+    Ok(bytes.freeze())
+}
+
 fn parse<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Failure> {
     serde_json::from_slice(bytes)
         .map_err(|error| Failure::unknown(&format!("the answer is not valid: {error}")))
--- a/crates/kumquat-transport/tests/store.rs
+++ b/crates/kumquat-transport/tests/store.rs
@@ -7,6 +7,7 @@
 use kumquat_standins::store::{self, Store};
 use kumquat_state::ident::{Epoch, Revision};
 use kumquat_transport::store::{Client, Failure, Options, Watched};
+use tokio::io::AsyncWriteExt as _;
 
 /// Time of calls that have to succeed, far above what a slow machine needs.
 const AMPLE: Duration = Duration::from_mins(1);
@@ -337,3 +338,33 @@
     assert_eq!(store.calls().reads, 0);
     store.stop().await;
 }
+
+/// Guards against a faulty store whose endless answer fills the memory of its clients.
+#[tokio::test]
+async fn an_answer_above_the_limit_is_not_read_to_its_end() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("the listener binds");
+    let url = format!("http://{}", listener.local_addr().expect("an address"));
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let part = vec![b'x'; 64 * 1024];
+        let head = b"HTTP/1.1 200 OK\r\nx-revision: 1\r\ncontent-length: 1000000000\r\n\r\n";
+        stream.write_all(head).await.expect("the head is sent");
+        // The client ends the connection at its limit, which fails a later write.
+        while stream.write_all(&part).await.is_ok() {}
+    });
+    let options = Options {
+        timeout: AMPLE,
+        ..Options::new(&url, "vm-1".parse().expect("a name"))
+    };
+    let client = Client::open(&options).expect("the client opens");
+
+    let answer = client.get("key").await;
+
+    assert!(
+        matches!(&answer, Err(Failure::Unknown { reason }) if reason.contains("more than 4194304 bytes")),
+        "{answer:?}"
+    );
+    server.await.expect("the server ends");
+}
--- a/crates/kumquatctl/src/bundles.rs
+++ b/crates/kumquatctl/src/bundles.rs
@@ -109,7 +109,7 @@
     let Some(value) = store.get(&address.store_key()).await? else {
         return Ok(None);
     };
-    let chunk = Chunk::new(value.bytes).map_err(Failure::refused)?;
+    let chunk = Chunk::new(value.bytes.to_vec()).map_err(Failure::refused)?;
     if chunk.address() == address {
         Ok(Some(chunk))
     } else {
--- a/crates/kumquatctl/src/submission.rs
+++ b/crates/kumquatctl/src/submission.rs
@@ -6,12 +6,13 @@
 use kumquat_state::bundle::submit::{Action, Answer, Call, Options, Outcome, Submission};
 use kumquat_state::bundle::{Bundle, Change, Envelope, Surprise, check_change, diff};
 use kumquat_state::document::Head;
+use kumquat_transport::store;
 use serde_json::{Value, json};
 
 use crate::bundles;
 use crate::output::{Failure, Report, Status};
 use crate::settings::Settings;
-use crate::store::{self, Error, Store, Write};
+use crate::store::{Store, Write, backoff};
 use crate::trail;
 
 /// Verifies an envelope, checks what has to be confirmed, and submits it.
@@ -53,8 +54,8 @@
         let answer = match call {
             Call::Get { key } => store.try_get(&key).await.map(|value| match value {
                 Some(value) => Answer::Found {
-                    revision: value.revision,
-                    value: value.bytes,
+                    revision: value.revision.0,
+                    value: value.bytes.to_vec(),
                 },
                 None => Answer::Missing,
             }),
@@ -77,10 +78,10 @@
             }
             Err(error) => {
                 failures += 1;
-                store::backoff(failures).await;
+                backoff(failures).await;
                 match error {
-                    Error::Refused(_) => Answer::Refused,
-                    Error::Lost(_) => Answer::Lost,
+                    store::Failure::Unknown { .. } => Answer::Lost,
+                    _ => Answer::Refused,
                 }
             }
         };
--- a/crates/kumquatctl/src/trail.rs
+++ b/crates/kumquatctl/src/trail.rs
@@ -5,9 +5,10 @@
 use eyre::{WrapErr as _, eyre};
 use kumquat_state::audit::{self, Cause, SEGMENT_ENTRY_LIMIT, Segment, What};
 use kumquat_state::bundle::{Bundle, Envelope};
+use kumquat_transport::store;
 
 use crate::output::Failure;
-use crate::store::{Error, Store, Write, backoff};
+use crate::store::{Store, Write, backoff};
 
 /// Start of the keys of segments.
 const PREFIX: &str = "audit/";
@@ -95,7 +96,7 @@
             // Another writer was faster; the next attempt links to its segment.
             Ok(Write::Conflict) => {}
             Err(error) => {
-                if matches!(error, Error::Lost(_)) {
+                if matches!(error, store::Failure::Unknown { .. }) {
                     in_doubt = Some(sealed);
                 }
                 failures += 1;
--- a/crates/kumquatctl/tests/operator.rs
+++ b/crates/kumquatctl/tests/operator.rs
@@ -1,15 +1,13 @@
 //! Tests of the operators' command: they guard against changes that go live unsigned, unconfirmed or unnoticed, and
 //! against exit statuses that tell scripts the wrong outcome.
 
-#[path = "fixtures/store.rs"]
-mod store;
-
 use std::os::unix::fs::PermissionsExt as _;
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
+use kumquat_standins::store;
 use serde_json::Value;
-use store::Store;
+use tokio::runtime::Runtime;
 
 /// A bundle text without problems.
 const TEXT: &str = include_str!("../../kumquat-state/tests/fixtures/bundle.ini");
@@ -17,7 +15,16 @@
 /// An operator's folder with two trusted signers, of whom one has to sign.
 struct Desk {
     folder: PathBuf,
-    store: Store,
+    store: store::Store,
+    // The store runs as long as its runtime.
+    _runtime: Runtime,
+}
+
+fn open_store(runtime: &Runtime) -> store::Store {
+    let any_port = "127.0.0.1:0".parse().unwrap();
+    runtime
+        .block_on(store::bind(any_port, store::Options::default()))
+        .unwrap()
 }
 
 impl Desk {
@@ -26,9 +33,11 @@
         // A former run may have left its files.
         _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).unwrap();
+        let runtime = Runtime::new().unwrap();
         let desk = Self {
             folder,
-            store: Store::open(),
+            store: open_store(&runtime),
+            _runtime: runtime,
         };
         desk.write("pepper", &"5a".repeat(32));
         desk.write(
@@ -36,7 +45,7 @@
             &format!(
                 "[store]\nurl = {}\n[trust]\nthreshold = 1\nsigners = asha.pub, bruno.pub\n[caller-keys]\n\
                  pepper-file = pepper\n",
-                desk.store.url
+                desk.store.url()
             ),
         );
         for name in ["asha", "bruno"] {
@@ -211,20 +220,23 @@
 #[test]
 fn lost_answers_are_resolved_or_reported() {
     let desk = Desk::with_bundle("lost");
-    desk.store.content.lock().unwrap().lost_swaps = 1;
+    desk.store.set_faults(|faults| {
+        faults.lose_answers = 1;
+        faults.lose_key = Some("bundle".to_owned());
+    });
     let output = desk.change(&["data-centre", "back", "b"]);
     assert_eq!(status(&output), 0, "{}", shown(&output));
     assert_eq!(desk.json(&["status"])["accepted"], 2);
 
-    let mut content = desk.store.content.lock().unwrap();
-    content.lost_swaps = 1;
-    content.silent_after_loss = true;
-    drop(content);
+    desk.store.set_faults(|faults| {
+        faults.lose_answers = 1;
+        faults.outage_after_loss = true;
+    });
     let output = desk.change(&["undrain", "payments-01"]);
     assert_eq!(status(&output), 4, "{}", shown(&output));
 
     // The same envelope tells the outcome once the store answers again.
-    desk.store.content.lock().unwrap().silent = false;
+    desk.store.set_faults(|faults| faults.outage = false);
     let text = shown(&output);
     let file = text.rsplit(' ').next().unwrap().trim();
     let output = desk.run(&["submit", file]);
@@ -278,7 +290,7 @@
     assert_eq!(status(&output), 0, "{}", shown(&output));
     let trusting = format!(
         "[store]\nurl = {}\n[trust]\nthreshold = 1\nsigners = chitra.pub\n",
-        desk.store.url
+        desk.store.url()
     );
     desk.write("stranger.ini", &trusting);
     desk.write("two.ini", &TEXT.replace("version = 3", "version = 2"));
@@ -327,17 +339,17 @@
     assert_eq!(status(&desk.change(&["data-centre", "back", "b"])), 0);
     desk.store.set(
         "status/cell",
-        br#"{"time":1,"vms":[{"vm":"vm-1","version":2,"ledger":7},{"vm":"vm-2","version":1,"ledger":7}]}"#,
+        r#"{"time":1,"vms":[{"vm":"vm-1","version":2,"ledger":7},{"vm":"vm-2","version":1,"ledger":7}]}"#,
     );
-    desk.store.set("status/cell-2", b"damaged");
+    desk.store.set("status/cell-2", "damaged");
     let shown_status = desk.json(&["status"]);
     assert_eq!(shown_status["behind"], 2, "{shown_status}");
 
     let key = format!("audit/{:020}", 1);
-    let mut bytes = desk.store.value(&key);
+    let mut bytes = desk.store.peek(&key).unwrap().0.to_vec();
     let place = bytes.windows(4).position(|part| part == b"asha").unwrap();
     bytes[place] = b'b';
-    desk.store.set(&key, &bytes);
+    desk.store.set(&key, bytes);
     let output = desk.run(&["audit", "--follow-chain"]);
     assert_eq!(status(&output), 1);
     assert!(
