Read the daemons' settings in kumquatctl

Cause: kumquatctl named its sections [trust] and [caller-keys] and listed key files, while the daemons have [signers] and [secrets], so that operators kept the same facts twice. Change: kumquat_settings::operator reads the part of a daemon's settings that operators need, with all problems of [store], [signers] and [secrets] at once; kumquatctl uses it, keeps its check that only the owner may read the digest secret, and prints the line for [signers] with a new key. Unknown sections stay errors, and sections of the daemons are passed over. A store URL in the file has to be http://IP:port, as for the daemons. Conclusion: operators can use a daemon's file.

--- a/crates/kumquat-settings/src/known.rs
+++ b/crates/kumquat-settings/src/known.rs
@@ -25,13 +25,17 @@
     ),
     ("dispatch", Keys::Fixed(&["listen", "advertise", "admin"])),
     ("peers", Keys::Free),
-    ("store", Keys::Fixed(&["url", "timeout"])),
+    (STORE, Keys::Fixed(&["url", "timeout"])),
     ("list", Keys::Fixed(&["url"])),
     (SECRETS, Keys::Fixed(&["cell", "digest"])),
-    ("signers", Keys::Free),
+    (SIGNERS, Keys::Free),
     ("log", Keys::Fixed(&["level"])),
 ];
 
+/// Section of the platform's key-value store.
+pub(crate) const STORE: &str = "store";
+/// Section of the trusted signers of bundles.
+pub(crate) const SIGNERS: &str = "signers";
 /// Section whose values are never shown.
 pub(crate) const SECRETS: &str = "secrets";
 
--- a/crates/kumquat-settings/src/lib.rs
+++ b/crates/kumquat-settings/src/lib.rs
@@ -1,7 +1,7 @@
-//! Settings of the kumquatpond daemons, read from INI files.
+//! Settings of the kumquatpond daemons and of operators, read from INI files.
 //!
 //! One file holds the settings of both daemons of a VM. [`open`] reports all problems of the file at once, so that an
-//! operator can correct them in one go.
+//! operator can correct them in one go. [`operator`] reads the part that the operators' command needs.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -11,6 +11,7 @@
 use kumquat_state::ident;
 
 mod known;
+pub mod operator;
 mod problem;
 mod read;
 mod secret;
@@ -18,7 +19,7 @@
 
 pub use problem::Problem;
 use read::Reader;
-pub use secret::Secret;
+pub use secret::{Secret, Source};
 
 /// Settings of one VM.
 #[derive(Clone, Debug)]
--- a/crates/kumquat-settings/src/read.rs
+++ b/crates/kumquat-settings/src/read.rs
@@ -7,7 +7,7 @@
 
 use crate::known::{self, Keys, SECRETS, SECTIONS};
 use crate::value::{self, Kind};
-use crate::{Problem, Secret, Settings};
+use crate::{Problem, Secret, Source};
 
 /// What a problem shows in place of a secret.
 const HIDDEN: &str = "(hidden)";
@@ -47,7 +47,7 @@
     }
 
     /// Returns the settings, unless there are problems.
-    pub(crate) fn finish(self, settings: Option<Settings>) -> Result<Settings, Vec<Problem>> {
+    pub(crate) fn finish<T>(self, settings: Option<T>) -> Result<T, Vec<Problem>> {
         match settings {
             Some(settings) if self.problems.is_empty() => Ok(settings),
             _ => Err(self.problems),
@@ -87,7 +87,17 @@
 
     /// Reports unknown keys, keys outside of sections and keys that appear twice.
     pub(crate) fn check_names(&mut self) {
-        let lines = self.lines.clone();
+        self.check_names_of(|_section| true);
+    }
+
+    /// Does the same, but passes over the keys of sections that are not `needed`.
+    pub(crate) fn check_names_of(&mut self, needed: impl Fn(&str) -> bool) {
+        let lines: Vec<_> = self
+            .lines
+            .iter()
+            .filter(|(section, _, _)| section.is_empty() || needed(section))
+            .cloned()
+            .collect();
         for (index, (section, key, value)) in lines.iter().enumerate() {
             if section.is_empty() {
                 self.problem("", key, value, "each key within a section");
@@ -198,37 +208,49 @@
         name
     }
 
-    /// Reads a secret, which is given in digits or as the path of a file that holds the digits.
-    pub(crate) fn secret(&mut self, key: &str) -> Option<Secret> {
-        const EXPECTED: &str = "32 bytes in 64 hexadecimal digits, or the path of a file with them";
-        let Some(text) = self.text(SECRETS, key) else {
-            let expected = format!("{EXPECTED}, but the key is missing");
-            self.problem(SECRETS, key, "", &expected);
-            return None;
+    /// Reads where a secret is found: its digits, or the path of a file that holds the digits.
+    pub(crate) fn secret_source(&mut self, key: &str) -> Option<Source> {
+        let kind = Kind {
+            read: source,
+            expected: "32 bytes in 64 hexadecimal digits, or the path of a file with them",
         };
-        if !text.contains('/') {
-            let secret = value::bytes(&text);
-            if secret.is_none() {
-                self.problem(SECRETS, key, &text, EXPECTED);
+        match self.required(SECRETS, key, kind)? {
+            Source::File(path) => {
+                let folder = self.path.parent().unwrap_or(Path::new(""));
+                Some(Source::File(folder.join(path)))
             }
-            return secret.map(Secret::new);
+            digits @ Source::Digits(_) => Some(digits),
         }
+    }
 
-        // A value with a slash is a path; a path without one could be taken for mistyped digits.
-        let folder = self.path.parent().unwrap_or(Path::new(""));
-        let read = std::fs::read_to_string(folder.join(&text));
-        let expected = match read {
+    /// Reads a secret, which is given in digits or as the path of a file that holds the digits.
+    pub(crate) fn secret(&mut self, key: &str) -> Option<Secret> {
+        let path = match self.secret_source(key)? {
+            Source::Digits(secret) => return Some(secret),
+            Source::File(path) => path,
+        };
+        let expected = match std::fs::read_to_string(path) {
             Ok(content) => match value::bytes(content.trim()) {
                 Some(secret) => return Some(Secret::new(secret)),
                 None => "a file with 64 hexadecimal digits".to_owned(),
             },
             Err(error) => format!("a readable file with 64 hexadecimal digits ({error})"),
         };
+        let text = self.text(SECRETS, key).unwrap_or_default();
         self.problem(SECRETS, key, &text, &expected);
         None
     }
 }
 
+fn source(text: &str) -> Option<Source> {
+    // A value with a slash is a path; a path without one could be taken for mistyped digits.
+    if text.contains('/') {
+        Some(Source::File(text.into()))
+    } else {
+        value::bytes(text).map(Secret::new).map(Source::Digits)
+    }
+}
+
 fn expected_name(what: &str, given: &str, names: impl IntoIterator<Item = &'static str>) -> String {
     match known::nearest(given, names) {
         Some(nearest) => format!("{what}; did you mean {nearest:?}?"),
--- a/crates/kumquat-settings/src/secret.rs
+++ b/crates/kumquat-settings/src/secret.rs
@@ -1,6 +1,7 @@
 //! The `secret` module holds secrets so that they can't be logged by accident.
 
 use std::fmt;
+use std::path::PathBuf;
 use std::sync::Arc;
 
 use secrecy::{ExposeSecret, SecretBox};
@@ -9,6 +10,15 @@
 #[derive(Clone)]
 pub struct Secret(Arc<SecretBox<[u8; 32]>>);
 
+/// Where a secret is found.
+#[derive(Clone, Debug)]
+pub enum Source {
+    /// In the settings themselves.
+    Digits(Secret),
+    /// In a file that holds its 64 hexadecimal digits.
+    File(PathBuf),
+}
+
 impl Secret {
     /// Takes a secret.
     #[must_use]
--- a/crates/kumquatctl/src/args.rs
+++ b/crates/kumquatctl/src/args.rs
@@ -17,7 +17,7 @@
     /// URL of the store, such as <http://127.0.0.1:7400>; it replaces the one in the settings.
     #[arg(long, global = true, value_name = "URL")]
     pub store: Option<String>,
-    /// Settings with the store, the trusted signers and the digest secret.
+    /// Settings with the store, the trusted signers and the digest secret, such as those of a daemon.
     #[arg(long, global = true, value_name = "FILE")]
     pub settings: Option<PathBuf>,
     /// What to do.
--- a/crates/kumquatctl/src/commands.rs
+++ b/crates/kumquatctl/src/commands.rs
@@ -17,7 +17,7 @@
 /// Runs the subcommand.
 pub async fn run(args: Args) -> Result<Report, Failure> {
     let settings = Settings::open(args.settings.as_deref(), args.store)?;
-    let store = || Store::open(settings.store()?);
+    let store = || Store::open(settings.store()?, settings.timeout());
     match args.command {
         Command::Check { file, previous } => check::check(&file, previous.as_deref()),
         Command::Diff { file, later } => match later {
--- a/crates/kumquatctl/src/commands/keygen.rs
+++ b/crates/kumquatctl/src/commands/keygen.rs
@@ -19,15 +19,17 @@
     public_path.push(".pub");
     let public_path = Path::new(&public_path);
     let public = key.public().to_string();
+    let digits = public.rsplit(' ').next().unwrap_or_default();
+    let line = format!("{} = {digits}", key.signer());
 
     files::write_secret(out, &key.expose())?;
     files::write(public_path, format!("{public}\n").as_bytes())?;
     let text = format!(
-        "private key: {}\npublic key:  {}\n{public}",
+        "private key: {}\npublic key:  {}\n{public}\n\nadd this line to [signers] in the settings:\n{line}",
         out.display(),
         public_path.display()
     );
-    let json = json!({ "private": out, "public": public_path, "public-key": public });
+    let json = json!({ "private": out, "public": public_path, "public-key": public, "line": line });
     Ok(Report::done(text, json))
 }
 
--- a/crates/kumquatctl/src/settings.rs
+++ b/crates/kumquatctl/src/settings.rs
@@ -1,30 +1,27 @@
-//! The `settings` module provides the operator's settings, read from an INI file.
+//! The `settings` module provides the operator's settings, read from a daemon's settings file or a part of one.
 //!
 //! Paths in the file are relative to its folder.
 
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use eyre::{WrapErr as _, eyre};
-use ini::{Ini, ParseOption};
+use kumquat_settings::{Signers, Source, operator};
 use kumquat_state::bundle::Trust;
+use kumquat_state::bundle::envelope::PublicKey;
 use kumquat_state::secret::Pepper;
 
 use crate::files;
 use crate::output::Failure;
 
-/// Keys by section.
-const KNOWN: [(&str, &[&str]); 3] = [
-    ("store", &["url"]),
-    ("trust", &["threshold", "signers"]),
-    ("caller-keys", &["pepper-file"]),
-];
-
 /// Settings of an operator.
 #[derive(Debug, Default)]
 pub struct Settings {
+    path: PathBuf,
     store: Option<String>,
+    timeout: Option<Duration>,
     trust: Option<Trust>,
-    pepper: Option<PathBuf>,
+    digest: Option<Source>,
 }
 
 impl Settings {
@@ -49,88 +46,61 @@
         })
     }
 
+    /// Returns the longest time of a call to the store, if the settings say one.
+    pub fn timeout(&self) -> Option<Duration> {
+        self.timeout
+    }
+
     /// Returns the trusted signers.
     pub fn trust(&self) -> Result<&Trust, Failure> {
         self.trust.as_ref().ok_or_else(|| {
             Failure::input(eyre!(
-                "no trusted signers are given; use --settings FILE with a section [trust] that has a threshold and \
-                 signers"
+                "no trusted signers are given; use --settings FILE with a section [signers] that has a threshold and \
+                 public keys"
             ))
         })
     }
 
-    /// Reads the digest secret.
+    /// Reads the digest secret, from a file that only its owner may read.
     pub fn pepper(&self) -> Result<Pepper, Failure> {
-        let path = self.pepper.as_ref().ok_or_else(|| {
-            Failure::input(eyre!(
-                "no digest secret is given; use --settings FILE with a section [caller-keys] that has a pepper-file"
-            ))
-        })?;
-        files::read_secret(path)?
-            .parse()
-            .wrap_err_with(|| format!("can't use {}", path.display()))
-            .map_err(Failure::input)
+        match &self.digest {
+            Some(Source::File(path)) => files::read_secret(path)?
+                .parse()
+                .wrap_err_with(|| format!("can't use {}", path.display()))
+                .map_err(Failure::input),
+            Some(Source::Digits(secret)) => {
+                // The settings themselves hold the secret, so that their permissions count.
+                files::read_secret(&self.path)?;
+                Ok(Pepper::new(*secret.expose()))
+            }
+            None => Err(Failure::input(eyre!(
+                "no digest secret is given; use --settings FILE with a section [secrets] that has a digest"
+            ))),
+        }
     }
 }
 
 fn read(path: &Path) -> Result<Settings, Failure> {
     let text = files::read_small(path)?;
-    let options = ParseOption {
-        enabled_quote: false,
-        enabled_escape: false,
-        ..ParseOption::default()
-    };
-    let ini = Ini::load_from_str_opt(&text, options).map_err(Failure::input)?;
-
-    // A misspelt key would silently leave a default in force.
-    for (section, properties) in &ini {
-        let known = KNOWN.iter().find(|(name, _)| Some(*name) == section);
-        for (key, _) in properties {
-            if !known.is_some_and(|(_, keys)| keys.contains(&key)) {
-                return Err(Failure::input(eyre!(
-                    "unknown key {key:?} in section {:?}",
-                    section.unwrap_or_default()
-                )));
-            }
-        }
-    }
-
-    let folder = path.parent().unwrap_or(Path::new("."));
-    let trust = match (
-        ini.get_from(Some("trust"), "threshold"),
-        ini.get_from(Some("trust"), "signers"),
-    ) {
-        (None, None) => None,
-        (Some(threshold), Some(signers)) => Some(read_trust(folder, threshold, signers)?),
-        _ => {
-            return Err(Failure::input(eyre!(
-                "section [trust] needs both a threshold and signers"
-            )));
-        }
-    };
+    let settings = operator::parse(&text, path).map_err(|problems| {
+        let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+        Failure::input(eyre!("{}", lines.join("\n")))
+    })?;
     Ok(Settings {
-        store: ini.get_from(Some("store"), "url").map(str::to_owned),
-        trust,
-        pepper: ini
-            .get_from(Some("caller-keys"), "pepper-file")
-            .map(|file| folder.join(file)),
+        path: path.to_owned(),
+        store: settings.store.map(|url| url.to_string()),
+        timeout: settings.timeout,
+        trust: settings.signers.as_ref().map(trust).transpose()?,
+        digest: settings.digest,
     })
 }
 
-fn read_trust(folder: &Path, threshold: &str, signers: &str) -> Result<Trust, Failure> {
-    let threshold = threshold
-        .parse()
-        .wrap_err_with(|| format!("the threshold {threshold:?} is not a number"))
-        .map_err(Failure::input)?;
-    let keys = signers
-        .split(',')
-        .map(|file| {
-            let path = folder.join(file.trim());
-            files::read_small(&path)?
-                .parse()
-                .wrap_err_with(|| format!("can't use {}", path.display()))
-                .map_err(Failure::input)
-        })
-        .collect::<Result<Vec<_>, _>>()?;
-    Trust::new(keys, threshold).map_err(Failure::input)
+fn trust(signers: &Signers) -> Result<Trust, Failure> {
+    let keys = signers.keys.iter().map(|signer| {
+        PublicKey::from_bytes(signer.name.clone(), &signer.key)
+            .wrap_err_with(|| format!("can't use the public key of signer {}", signer.name))
+            .map_err(Failure::input)
+    });
+    let keys = keys.collect::<Result<Vec<_>, _>>()?;
+    Trust::new(keys, signers.threshold).map_err(Failure::input)
 }
--- a/crates/kumquatctl/src/store.rs
+++ b/crates/kumquatctl/src/store.rs
@@ -13,7 +13,7 @@
 /// Name by which the store counts the calls of operators.
 const CLIENT: &str = "kumquatctl";
 
-/// Time within which a call has to be answered; the store answers in milliseconds when it is well.
+/// Time within which a call has to be answered, unless the settings say another one; the store answers in milliseconds when it is well.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Attempts of a read before the store counts as unreachable.
@@ -42,8 +42,8 @@
 }
 
 impl Store {
-    /// Creates a client; connections are opened when they are needed.
-    pub fn open(url: &str) -> Result<Self, Failure> {
+    /// Creates a client; connections are opened when they are needed. `timeout` replaces the usual time of a call.
+    pub fn open(url: &str, timeout: Option<Duration>) -> Result<Self, Failure> {
         let base: Url = url
             .parse()
             .map_err(|error| Failure::input(eyre!("{url:?} is not a URL: {error}")))?;
@@ -53,7 +53,7 @@
             )));
         }
         let options = store::Options {
-            timeout: CALL_TIMEOUT,
+            timeout: timeout.unwrap_or(CALL_TIMEOUT),
             ..store::Options::new(base.as_str(), CLIENT.parse().map_err(Failure::input)?)
         };
         let client = Client::open(&options).map_err(Failure::input)?;
--- a/crates/kumquatctl/tests/operator.rs
+++ b/crates/kumquatctl/tests/operator.rs
@@ -6,6 +6,8 @@
 use std::process::{Command, Output};
 
 use kumquat_standins::store;
+use kumquat_state::bundle::parse;
+use kumquat_state::secret::Pepper;
 use serde_json::Value;
 use tokio::runtime::Runtime;
 
@@ -40,18 +42,19 @@
             _runtime: runtime,
         };
         desk.write("pepper", &"5a".repeat(32));
+        for name in ["asha", "bruno"] {
+            let output = desk.run_bare(&["keygen", "signer", name, "--out", name]);
+            assert_eq!(status(&output), 0, "{}", shown(&output));
+        }
         desk.write(
             "settings.ini",
             &format!(
-                "[store]\nurl = {}\n[trust]\nthreshold = 1\nsigners = asha.pub, bruno.pub\n[caller-keys]\n\
-                 pepper-file = pepper\n",
-                desk.store.url()
+                "[store]\nurl = {}\n[signers]\nthreshold = 1\n{}{}[secrets]\ndigest = ./pepper\n",
+                desk.store.url(),
+                desk.signer("asha"),
+                desk.signer("bruno"),
             ),
         );
-        for name in ["asha", "bruno"] {
-            let output = desk.run_bare(&["keygen", "signer", name, "--out", name]);
-            assert_eq!(status(&output), 0, "{}", shown(&output));
-        }
         desk
     }
 
@@ -71,6 +74,13 @@
         std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o600)).unwrap();
     }
 
+    /// Returns the line of a signer's public key in the settings.
+    fn signer(&self, name: &str) -> String {
+        let public = std::fs::read_to_string(self.folder.join(format!("{name}.pub"))).unwrap();
+        let key = public.split_whitespace().last().unwrap();
+        format!("{name} = {key}\n")
+    }
+
     fn sign(&self, text: &str, key: &str, out: &str) {
         let output = self.run(&[
             "sign", text, "--key", key, "--reason", "a test", "--out", out,
@@ -289,8 +299,9 @@
     let output = desk.run(&["keygen", "signer", "chitra", "--out", "chitra"]);
     assert_eq!(status(&output), 0, "{}", shown(&output));
     let trusting = format!(
-        "[store]\nurl = {}\n[trust]\nthreshold = 1\nsigners = chitra.pub\n",
-        desk.store.url()
+        "[store]\nurl = {}\n[signers]\nthreshold = 1\n{}",
+        desk.store.url(),
+        desk.signer("chitra")
     );
     desk.write("stranger.ini", &trusting);
     desk.write("two.ini", &TEXT.replace("version = 3", "version = 2"));
@@ -368,3 +379,89 @@
     let output = desk.run_bare(&["completions", "bash"]);
     assert!(shown(&output).contains("data-centre"));
 }
+
+/// Guards against operators who need settings of their own beside those of the daemons.
+#[test]
+fn settings_of_a_daemon_are_usable() {
+    let desk = Desk::open("daemon-settings");
+    let sample = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../samples/port-louis");
+    let settings = sample.join("vm-1.ini");
+    let bundle = sample.join("bundle.ini");
+    // The private keys of the sample signers are in samples/README.md.
+    for (name, byte) in [("anjali", "11"), ("kevin", "12")] {
+        let key = format!("kumquat-signing-key-v1 {name} {}\n", byte.repeat(32));
+        desk.write(name, &key);
+    }
+    let run = |args: &[&str]| {
+        let url = desk.store.url();
+        let common = ["--settings", settings.to_str().unwrap(), "--store", &url];
+        desk.run_bare(&[&common, args].concat())
+    };
+    desk.sign(bundle.to_str().unwrap(), "anjali", "one.kqe");
+    desk.sign("one.kqe", "kevin", "both.kqe");
+
+    // The sample asks for two signatures.
+    let single = run(&["submit", "one.kqe", "--accept-surprises"]);
+    let both = run(&["submit", "both.kqe", "--accept-surprises"]);
+    let accepted = run(&["--json", "status"]);
+
+    assert_eq!(status(&single), 1, "{}", shown(&single));
+    assert_eq!(status(&both), 0, "{}", shown(&both));
+    let accepted: Value = serde_json::from_slice(&accepted.stdout).unwrap();
+    assert_eq!(accepted["accepted"], 1);
+}
+
+/// Guards against a digest secret that is read from another place than the daemons read it from.
+#[test]
+fn the_digest_secret_of_a_daemon_digests_caller_keys() {
+    let desk = Desk::open("daemon-digest");
+    let sample = include_str!("../../../samples/port-louis/vm-1.ini");
+    // The path in the sample is relative to its folder, and operators keep the file to themselves.
+    let digits = include_str!("../../../samples/port-louis/digest.hex");
+    desk.write("vm-1.ini", sample);
+    desk.write("digest.hex", digits);
+
+    let output = desk.run_bare(&[
+        "--settings",
+        "vm-1.ini",
+        "--json",
+        "keygen",
+        "caller-key",
+        "pilots-2",
+        "--team",
+        "pilots",
+    ]);
+
+    assert_eq!(status(&output), 0, "{}", shown(&output));
+    let made: Value = serde_json::from_slice(&output.stdout).unwrap();
+    let pepper: Pepper = digits.parse().unwrap();
+    let text = format!("{TEXT}{}", made["section"].as_str().unwrap());
+    let bundle = parse(&text).unwrap();
+    let found = pepper.find(&bundle, made["key"].as_str().unwrap()).unwrap();
+    assert_eq!(found.name.as_str(), "pilots-2");
+}
+
+/// Guards against problems of the settings that are found only one by one, or not at all.
+#[test]
+fn all_problems_of_the_settings_are_listed() {
+    let desk = Desk::open("settings-problems");
+    desk.write(
+        "bad.ini",
+        "[store]\nurl = nowhere\nulr = http://127.0.0.1:1\n[signers]\nthreshold = 0\nasha = 12\n\
+         [secrets]\ndigset = ./pepper\n[trust]\nthreshold = 1\n",
+    );
+
+    let output = desk.run_bare(&["--settings", "bad.ini", "status"]);
+
+    assert_eq!(status(&output), 2);
+    for part in [
+        "nowhere",
+        "\"url\"?",
+        "[signers]",
+        "asha",
+        "\"digest\"?",
+        "[trust]",
+    ] {
+        assert!(shown(&output).contains(part), "{part}: {}", shown(&output));
+    }
+}
--- a/crates/kumquatctl/tests/trail.rs
+++ b/crates/kumquatctl/tests/trail.rs
@@ -32,10 +32,12 @@
 
 /// Prepares an operator's folder with one trusted signer.
 fn prepare(folder: &Path, url: &str) {
-    let settings = format!("[store]\nurl = {url}\n[trust]\nthreshold = 1\nsigners = asha.pub\n");
     std::fs::write(folder.join("settings.ini"), "[store]\n").expect("the settings are written");
     let output = run(folder, &["keygen", "signer", "asha", "--out", "asha"]);
     assert!(output.status.success(), "{}", shown(&output));
+    let public = std::fs::read_to_string(folder.join("asha.pub")).expect("the public key is read");
+    let key = public.split_whitespace().last().expect("a key");
+    let settings = format!("[store]\nurl = {url}\n[signers]\nthreshold = 1\nasha = {key}\n");
     std::fs::write(folder.join("settings.ini"), settings).expect("the settings are written");
 }
 
