Check planned holder lists against the change rule

Cause: holders::consent works out by itself who has to release, so a difference from role::may_replace, which the specification and the randomised runs check, would go unnoticed. Change: in debug builds, each planned write asserts role::may_replace for every role, a removed one counting as a list without holders. The rule itself is not shared, because consent has to name the next release, not the first reason.

--- a/crates/kumquat-coordination/src/coordinator.rs
+++ b/crates/kumquat-coordination/src/coordinator.rs
@@ -16,6 +16,8 @@
 use kumquat_state::ledger::{self, Holder, Ledger, Member, Membership, Name};
 use kumquat_state::slots;
 
+use crate::role::{self, Release};
+
 /// Everything that a plan is based on.
 pub struct View<'a> {
     /// The ledger as stored.
@@ -290,12 +292,47 @@
         if self.changes.is_empty() {
             return None;
         }
+        debug_assert_eq!(
+            self.check_holders(),
+            Ok(()),
+            "a planned holder list breaks the change rule"
+        );
         Some(Step::Write {
             ledger: Box::new(std::mem::take(&mut self.ledger)),
             changes: std::mem::take(&mut self.changes),
         })
     }
 
+    /// Checks all holder lists against the change rule; a removed role counts as one without holders.
+    fn check_holders(&self) -> Result<(), role::Error> {
+        let view = self.view;
+        for old in &view.ledger.roles {
+            let removed = ledger::Role {
+                name: old.name.clone(),
+                epoch: self.epoch(),
+                holders: Vec::new(),
+            };
+            let new = self.ledger.role(&old.name).unwrap_or(&removed);
+            let fenced: Vec<Holder> = old
+                .holders
+                .iter()
+                .filter(|holder| (view.is_fenced)(holder))
+                .cloned()
+                .collect();
+            let released: Vec<Release> = view
+                .released
+                .iter()
+                .filter(|released| released.role == old.name)
+                .map(|released| Release {
+                    holder: released.holder.clone(),
+                    revision: released.revision,
+                })
+                .collect();
+            role::may_replace(old, new, view.ledger.revision, &fenced, &released)?;
+        }
+        Ok(())
+    }
+
     /// Returns the epoch of all that this write changes.
     ///
     /// The revision serves as epoch: a role that is removed and created again has a higher epoch than ever before.
@@ -309,7 +346,7 @@
 }
 
 impl View<'_> {
-    /// Returns the first holder that is not fenced: the only one that may act.
+    /// Returns the first holder that is not fenced: the only one that may act, as in [`role::acting`].
     fn acting<'l>(&self, role: &'l ledger::Role) -> Option<(usize, &'l Holder)> {
         role.holders
             .iter()
--- a/crates/kumquat-coordination/src/coordinator/holders.rs
+++ b/crates/kumquat-coordination/src/coordinator/holders.rs
@@ -320,7 +320,8 @@
 /// Checks the change rule for a list of the same holders or fewer.
 ///
 /// Returns `Ok` if every VM that moves back or leaves has released or is fenced, the next release to ask for otherwise,
-/// and none if one of them can't answer at present.
+/// and none if one of them can't answer at present. [`crate::role::may_replace`] states the rule itself, by which all
+/// planned lists are checked in debug builds; this function finds out whose release is missing.
 fn consent(draft: &Draft<'_>, role: &Role, to: &[Holder]) -> Option<Result<(), Step>> {
     let view = draft.view;
     let moves_back = |rank: usize, holder: &Holder| {
