Share the assembly of document parts

Cause: the entry and the dispatch process each assembled documents from parts, with limits of 256 and 512 parts; 512 parts of 256 KB are the largest document of 128 MB, so that an entry would have refused a valid one above 64 MB. The dispatch process now also refuses parts that differ in their number of parts. Conclusion: one piece of code takes parts from peers.

--- a/crates/kumquat-dispatch/src/control/documents.rs
+++ b/crates/kumquat-dispatch/src/control/documents.rs
@@ -4,8 +4,9 @@
 
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 
+use kumquat_protocol::document::{Assembly, PART};
 use kumquat_protocol::wire::{Document, Kind, Message, Pull};
 use kumquat_state::bundle::Bundle;
 use kumquat_state::bundle::envelope::{Envelope, Trust};
@@ -16,12 +17,6 @@
 use super::{Control, Peers, Subscriber};
 use crate::admin::View;
 
-/// Largest part of a document in one message, in bytes.
-const PART: usize = 256 * 1024;
-
-/// Most parts of one document; it bounds the memory that a document takes on its way.
-const PART_LIMIT: u32 = 512;
-
 /// Most entries that follow the documents of one dispatch process.
 const FOLLOWER_LIMIT: usize = 64;
 
@@ -49,21 +44,12 @@
     trust: Arc<Trust>,
     bundle: Option<Current<Bundle>>,
     ledger: Option<Current<Ledger>>,
-    assemblies: Vec<Assembly>,
+    /// Documents of which not all parts have come yet, by sender and kind.
+    assemblies: Vec<(Vm, Kind, Assembly)>,
     followers: Vec<(Kind, link::Sender)>,
     view: Arc<View>,
 }
 
-/// A document of which not all parts have come yet.
-#[derive(Debug)]
-struct Assembly {
-    from: Vm,
-    kind: Kind,
-    version: u64,
-    next: u32,
-    bytes: BytesMut,
-}
-
 /// What became of a document that arrived.
 #[derive(Debug)]
 pub enum Applied {
@@ -169,38 +155,24 @@
 
     /// Adds a part that a peer sent and returns the document with its last part.
     pub fn assemble(&mut self, from: &Vm, part: &Document) -> Option<Received> {
-        self.assemblies.retain(|assembly| {
-            assembly.from != *from || assembly.kind != part.kind || part.part > 0
-        });
-        if part.part == 0 {
-            self.assemblies.push(Assembly {
-                from: from.clone(),
-                kind: part.kind,
-                version: part.version,
-                next: 0,
-                bytes: BytesMut::new(),
-            });
-        }
-        let index = self
+        let begun = self
             .assemblies
             .iter()
-            .position(|assembly| assembly.from == *from && assembly.kind == part.kind)?;
-        let assembly = &mut self.assemblies[index];
-        let expected = assembly.version == part.version && assembly.next == part.part;
-        if !expected || part.parts > PART_LIMIT || part.part >= part.parts {
-            self.assemblies.swap_remove(index);
-            return None;
-        }
-        assembly.bytes.extend_from_slice(&part.data);
-        assembly.next += 1;
-        if assembly.next < part.parts {
+            .position(|(vm, kind, _)| vm == from && *kind == part.kind);
+        let index = begun.unwrap_or_else(|| {
+            self.assemblies
+                .push((from.clone(), part.kind, Assembly::default()));
+            self.assemblies.len() - 1
+        });
+        let pushed = self.assemblies[index].2.push(part);
+        if let Ok(None) = pushed {
             return None;
         }
-        let assembly = self.assemblies.swap_remove(index);
+        self.assemblies.swap_remove(index);
         Some(Received {
-            kind: assembly.kind,
-            bytes: assembly.bytes.freeze(),
-            from: Some(assembly.from),
+            kind: part.kind,
+            bytes: pushed.ok()??,
+            from: Some(from.clone()),
         })
     }
 
--- a/crates/kumquat-entry/src/documents.rs
+++ b/crates/kumquat-entry/src/documents.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use kumquat_protocol::wire::{Document, Kind, Message, Pull};
+use kumquat_protocol::document::Assembly;
+use kumquat_protocol::wire::{Kind, Message, Pull};
 use kumquat_state::bundle::envelope::{Envelope, Trust};
 use kumquat_state::ledger::Ledger;
 use kumquat_transport::{Error, Result, link};
@@ -18,9 +18,6 @@
 /// Wait before the link to the dispatch process is opened again.
 const RECONNECT: Duration = Duration::from_millis(100);
 
-/// Most parts of one document; with the frame limit it bounds the memory that a document takes on its way.
-const PART_LIMIT: u32 = 256;
-
 /// Where the documents come from.
 #[derive(Clone, Debug)]
 pub struct Source {
@@ -32,52 +29,6 @@
     pub trust: Arc<Trust>,
 }
 
-/// A document of which not all parts have come yet.
-#[derive(Debug, Default)]
-pub struct Assembly {
-    version: u64,
-    parts: u32,
-    next: u32,
-    bytes: BytesMut,
-}
-
-impl Assembly {
-    /// Returns the number of bytes that are kept.
-    #[must_use]
-    pub fn size(&self) -> usize {
-        self.bytes.len()
-    }
-
-    /// Adds a part and returns the whole document with its last one.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the parts come out of order or are too many.
-    pub fn push(&mut self, document: &Document) -> Result<Option<Vec<u8>>> {
-        if document.part == 0 {
-            self.version = document.version;
-            self.parts = document.parts;
-            self.next = 0;
-            self.bytes.clear();
-        }
-        let expected = document.version == self.version
-            && document.parts == self.parts
-            && document.part == self.next;
-        if !expected || document.parts > PART_LIMIT || document.part >= document.parts {
-            // What has come so far is of no use without the missing part.
-            *self = Self::default();
-            return Err(kumquat_protocol::Error::malformed("document part out of order").into());
-        }
-        self.bytes.extend_from_slice(&document.data);
-        self.next += 1;
-        if self.next < self.parts {
-            return Ok(None);
-        }
-        // A further part has to begin a new document.
-        Ok(Some(std::mem::take(self).bytes.to_vec()))
-    }
-}
-
 /// Follows the documents until the entry shuts down.
 pub async fn follow(source: Source, config: Arc<Config>, closing: CancellationToken) {
     while !closing.is_cancelled() {
--- a/crates/kumquat-entry/tests/properties.rs
+++ b/crates/kumquat-entry/tests/properties.rs
@@ -8,11 +8,8 @@
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
 use std::time::Duration;
 
-use bytes::Bytes;
 use kumquat_entry::caller::{self, Rejection, Side};
-use kumquat_entry::documents::Assembly;
 use kumquat_entry::failures::{BURST, Failures, RATE};
-use kumquat_protocol::wire::{Document, Kind};
 use kumquat_state::bundle::{Access, Bundle, CallerKey, Class, Route, Team};
 use kumquat_state::clock::Instant;
 use kumquat_state::ident::Version;
@@ -235,89 +232,6 @@
     run(property as fn(Vec<Drawn>, String) -> TestResult);
 }
 
-fn document(version: u64, part: u32, parts: u32, data: Vec<u8>) -> Document {
-    Document {
-        kind: Kind::Bundle,
-        version,
-        part,
-        parts,
-        data: Bytes::from(data),
-    }
-}
-
-/// What an assembly has accepted since the last part 0.
-#[derive(Default)]
-struct Accepted {
-    head: (u64, u32),
-    parts: Vec<Vec<u8>>,
-}
-
-impl Accepted {
-    /// Checks the result of one push.
-    fn check(&mut self, part: &Document, result: Option<&Option<Vec<u8>>>) -> Result<(), String> {
-        if part.part == 0 {
-            self.parts.clear();
-            self.head = (part.version, part.parts);
-        }
-        let Some(whole) = result else {
-            self.parts.clear();
-            return Ok(());
-        };
-        self.parts.push(part.data.to_vec());
-        let is_next = self.parts.len() == part.part as usize + 1;
-        if (part.version, part.parts) != self.head || !is_next {
-            return Err("parts out of order are accepted".to_owned());
-        }
-        let is_last = part.part + 1 == part.parts;
-        let expected = is_last.then(|| self.parts.concat());
-        if is_last {
-            self.parts.clear();
-        }
-        if *whole == expected {
-            Ok(())
-        } else {
-            Err(format!("{whole:?} in place of {expected:?}"))
-        }
-    }
-
-    fn size(&self) -> usize {
-        self.parts.iter().map(Vec::len).sum()
-    }
-}
-
-/// Guards against parts of different documents that are put together, and against bytes that are kept for nothing.
-#[test]
-fn arbitrary_parts_never_make_a_mixed_document() {
-    fn property(drawn: Vec<(u8, u8, u8, Vec<u8>)>) -> TestResult {
-        let mut assembly = Assembly::default();
-        let mut accepted = Accepted::default();
-        for (version, part, parts, data) in drawn {
-            let (version, parts) = (u64::from(version % 2), u32::from(parts % 4));
-            let part = document(version, u32::from(part % 4), parts, data);
-            let result = assembly.push(&part);
-            if let Err(problem) = accepted.check(&part, result.as_ref().ok()) {
-                return TestResult::error(problem);
-            }
-            if assembly.size() != accepted.size() {
-                return TestResult::error("bytes are kept for nothing");
-            }
-        }
-        TestResult::passed()
-    }
-    run(property as fn(Vec<(u8, u8, u8, Vec<u8>)>) -> TestResult);
-}
-
-/// Guards against a document without end, which would use up memory part by part.
-#[test]
-fn the_parts_of_a_document_are_limited() {
-    let mut assembly = Assembly::default();
-
-    let pushed = assembly.push(&document(1, 0, u32::MAX, vec![0; 1_000]));
-
-    pushed.expect_err("a document of any number of parts begins");
-    assert_eq!(assembly.size(), 0);
-}
-
 /// Guards against a bucket of failures that lets more through than its burst and rate.
 #[test]
 fn failures_are_bounded_by_burst_and_rate() {
--- a/crates/kumquat-protocol/src/lib.rs
+++ b/crates/kumquat-protocol/src/lib.rs
@@ -4,6 +4,7 @@
 //! Nothing here does I/O. See `docs/design.md`, sections 5 and 8.
 
 mod convert;
+pub mod document;
 pub mod errors;
 pub mod frame;
 pub mod handshake;
