Share start, admin answers and submission calls

Cause: the main functions of both daemons, their answers for /live, /ready and /metrics, and the store calls of a submission in kumquatctl and kumquat-local stood twice each. Change: kumquat_daemon::start and kumquat_daemon::admin serve both daemons, and store::Client::submit serves both submitters, which keep their own pacing. Conclusion: no behaviour changes.

--- a/crates/kumquat-daemon/src/lib.rs
+++ b/crates/kumquat-daemon/src/lib.rs
@@ -1,4 +1,5 @@
-//! The `kumquat-daemon` crate holds what the daemons' programs share: the command line, structured logs and signals.
+//! The `kumquat-daemon` crate holds what the daemons share: the command line, structured logs, signals and admin
+//! endpoints.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -10,6 +11,8 @@
 use slog::{Drain, Logger, o};
 use tokio::signal::unix::{SignalKind, signal};
 
+pub mod admin;
+
 /// Exit status for settings that can't be used.
 pub const INVALID_SETTINGS: u8 = 2;
 
@@ -18,13 +21,35 @@
 
 /// Arguments of a daemon.
 #[derive(Clone, Debug, Parser)]
-pub struct Arguments {
+struct Arguments {
     /// Settings file of this VM.
     #[arg(long, value_name = "FILE")]
-    pub settings: PathBuf,
+    settings: PathBuf,
     /// Checks the settings and exits.
     #[arg(long)]
-    pub check: bool,
+    check: bool,
+}
+
+/// Runs a daemon's program: reads the command line and the settings, and then runs `run` with the settings and the log.
+///
+/// # Errors
+///
+/// Returns an error if the runtime can't be started or `run` fails.
+pub fn start<F>(program: &'static str, run: impl FnOnce(Settings, Logger) -> F) -> Result<ExitCode>
+where
+    F: Future<Output = Result<()>>,
+{
+    let arguments = Arguments::parse();
+    let settings = match read_settings(&arguments) {
+        Ok(settings) => settings,
+        Err(status) => return Ok(status),
+    };
+    let (log, _guard) = log(&settings, program);
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?
+        .block_on(run(settings, log))?;
+    Ok(ExitCode::SUCCESS)
 }
 
 /// Reads the settings that the arguments name, or ends with the status to exit with.
@@ -32,7 +57,7 @@
 /// # Errors
 ///
 /// Returns the exit status after the problems have been printed, or after a check that found none.
-pub fn read_settings(arguments: &Arguments) -> Result<Settings, ExitCode> {
+fn read_settings(arguments: &Arguments) -> Result<Settings, ExitCode> {
     match kumquat_settings::open(&arguments.settings) {
         Ok(_) if arguments.check => Err(ExitCode::SUCCESS),
         Ok(settings) => Ok(settings),
@@ -62,7 +87,7 @@
 /// Creates the log: one JSON object per line on standard error.
 ///
 /// Dropping the returned guard flushes the log.
-pub fn log(settings: &Settings, program: &'static str) -> (Logger, slog_async::AsyncGuard) {
+fn log(settings: &Settings, program: &'static str) -> (Logger, slog_async::AsyncGuard) {
     let level = match settings.log {
         Level::Critical => slog::Level::Critical,
         Level::Error => slog::Level::Error,
--- a/crates/kumquat-dispatch/src/admin.rs
+++ b/crates/kumquat-dispatch/src/admin.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwapOption;
-use poem::http::StatusCode;
+use kumquat_daemon::admin;
 use poem::{Endpoint, Request, Response};
 
 use kumquat_state::bundle::Bundle;
@@ -115,20 +115,14 @@
     type Output = Response;
 
     async fn call(&self, req: Request) -> poem::Result<Response> {
-        let response = match req.uri().path() {
-            "/live" => Response::builder().body("live\n"),
-            "/ready" if self.is_ready() => Response::builder().body("ready\n"),
-            "/ready" => Response::builder()
-                .status(StatusCode::SERVICE_UNAVAILABLE)
-                .body("not ready\n"),
-            "/metrics" => Response::builder()
-                .content_type("text/plain; version=0.0.4")
-                .body(self.metrics.render()),
+        let path = req.uri().path();
+        if let Some(response) = admin::answer(path, || self.is_ready(), || self.metrics.render()) {
+            return Ok(response);
+        }
+        let response = match path {
             "/status" => Response::builder().body(self.status()),
             "/audit" => Response::builder().body(self.audit()),
-            _ => Response::builder()
-                .status(StatusCode::NOT_FOUND)
-                .body("unknown path\n"),
+            _ => admin::unknown_path(),
         };
         Ok(response)
     }
--- a/crates/kumquat-dispatch/src/main.rs
+++ b/crates/kumquat-dispatch/src/main.rs
@@ -3,9 +3,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use clap::Parser;
 use eyre::Result;
-use kumquat_daemon::Arguments;
 use kumquat_dispatch::platform;
 use kumquat_dispatch::server::{Dispatch, Options};
 use kumquat_protocol::handshake::Secret;
@@ -19,21 +17,11 @@
 const HANDOVER: Duration = Duration::from_secs(10);
 
 fn main() -> Result<ExitCode> {
-    let arguments = Arguments::parse();
-    let settings = match kumquat_daemon::read_settings(&arguments) {
-        Ok(settings) => settings,
-        Err(status) => return Ok(status),
-    };
-    let (log, _guard) = kumquat_daemon::log(&settings, "kumquat-dispatch");
-    tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()?
-        .block_on(run(&settings, log))?;
-    Ok(ExitCode::SUCCESS)
+    kumquat_daemon::start("kumquat-dispatch", run)
 }
 
-async fn run(settings: &Settings, log: Logger) -> Result<()> {
-    let dispatch = Dispatch::bind(options(settings, &log)?).await?;
+async fn run(settings: Settings, log: Logger) -> Result<()> {
+    let dispatch = Dispatch::bind(options(&settings, &log)?).await?;
     info!(log, "dispatch started"; "address" => %dispatch.address(), "admin" => %dispatch.admin());
     kumquat_daemon::stop_signal().await?;
     info!(log, "dispatch draining");
--- a/crates/kumquat-entry/src/admin.rs
+++ b/crates/kumquat-entry/src/admin.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use poem::http::StatusCode;
+use kumquat_daemon::admin;
 use poem::{Endpoint, Request, Response};
 use tokio_util::sync::CancellationToken;
 
@@ -52,21 +52,15 @@
     type Output = Response;
 
     async fn call(&self, req: Request) -> poem::Result<Response> {
-        let response = match req.uri().path() {
-            "/live" => Response::builder().body("live\n"),
-            "/ready" if self.is_ready() => Response::builder().body("ready\n"),
-            "/ready" => Response::builder()
-                .status(StatusCode::SERVICE_UNAVAILABLE)
-                .body("not ready\n"),
-            "/metrics" => Response::builder()
-                .content_type("text/plain; version=0.0.4")
-                .body(self.metrics()),
+        let path = req.uri().path();
+        if let Some(response) = admin::answer(path, || self.is_ready(), || self.metrics()) {
+            return Ok(response);
+        }
+        let response = match path {
             "/status" => Response::builder()
                 .content_type("application/json")
                 .body(self.status()),
-            _ => Response::builder()
-                .status(StatusCode::NOT_FOUND)
-                .body("unknown path\n"),
+            _ => admin::unknown_path(),
         };
         Ok(response)
     }
--- a/crates/kumquat-entry/src/main.rs
+++ b/crates/kumquat-entry/src/main.rs
@@ -3,9 +3,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use clap::Parser;
 use eyre::Result;
-use kumquat_daemon::Arguments;
 use kumquat_entry::gateway::Limits;
 use kumquat_entry::server::{Entry, Options};
 use kumquat_protocol::handshake::{Identity, Program, Secret};
@@ -25,21 +23,11 @@
 const NOTICE: Duration = Duration::from_secs(5);
 
 fn main() -> Result<ExitCode> {
-    let arguments = Arguments::parse();
-    let settings = match kumquat_daemon::read_settings(&arguments) {
-        Ok(settings) => settings,
-        Err(status) => return Ok(status),
-    };
-    let (log, _guard) = kumquat_daemon::log(&settings, "kumquat-entry");
-    tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()?
-        .block_on(run(&settings, log))?;
-    Ok(ExitCode::SUCCESS)
+    kumquat_daemon::start("kumquat-entry", run)
 }
 
-async fn run(settings: &Settings, log: Logger) -> Result<()> {
-    let entry = Entry::bind(options(settings)?).await?;
+async fn run(settings: Settings, log: Logger) -> Result<()> {
+    let entry = Entry::bind(options(&settings)?).await?;
     info!(log, "entry started"; "address" => %entry.address(), "admin" => %entry.admin());
     kumquat_daemon::stop_signal().await?;
     info!(log, "entry draining");
--- a/crates/kumquat-local/src/operator.rs
+++ b/crates/kumquat-local/src/operator.rs
@@ -2,13 +2,12 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use eyre::{Result, bail, eyre};
 
 use kumquat_state::bundle::envelope::{SigningKey, Trust};
 use kumquat_state::bundle::submit::{Action, Answer, Call, Options, Outcome, Submission};
 use kumquat_state::bundle::{Bundle, Envelope, render};
-use kumquat_state::ident::{Operation, Revision, Version};
+use kumquat_state::ident::{Operation, Version};
 use kumquat_transport::store::{self, Client, Failure};
 
 /// An operator with a signing key and a connection to the store.
@@ -69,27 +68,8 @@
     }
 
     async fn call(&self, call: Call) -> Result<Answer> {
-        let result = match call {
-            Call::Get { key } => self.client.get(&key).await.map(|value| match value {
-                Some(value) => Answer::Found {
-                    revision: value.revision.0,
-                    value: value.bytes.to_vec(),
-                },
-                None => Answer::Missing,
-            }),
-            Call::Put {
-                key,
-                expected,
-                value,
-            } => self
-                .client
-                .compare_and_swap(&key, Bytes::from(value), Revision(expected))
-                .await
-                .map(|_| Answer::Stored),
-        };
-        match result {
+        match self.client.submit(call).await {
             Ok(answer) => Ok(answer),
-            Err(Failure::Conflict { .. }) => Ok(Answer::Conflict),
             Err(Failure::Unknown { .. }) => Ok(Answer::Lost),
             Err(Failure::Unavailable { .. }) => {
                 tokio::time::sleep(Duration::from_millis(50)).await;
--- a/crates/kumquat-transport/src/store.rs
+++ b/crates/kumquat-transport/src/store.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 mod failure;
+mod submission;
 
 pub use failure::{Error, Failure};
 
--- a/crates/kumquatctl/src/store.rs
+++ b/crates/kumquatctl/src/store.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use eyre::eyre;
+use kumquat_state::bundle::submit::{Answer, Call};
 use kumquat_state::ident::Revision;
 use kumquat_transport::store::{self, Client, Value};
 use rand::RngExt as _;
@@ -60,9 +61,9 @@
         Ok(Self { client, base })
     }
 
-    /// Makes a single attempt to read a value.
-    pub async fn try_get(&self, key: &str) -> Result<Option<Value>, store::Failure> {
-        self.client.get(key).await
+    /// Makes a single attempt at a store call of a submission.
+    pub async fn submit(&self, call: Call) -> Result<Answer, store::Failure> {
+        self.client.submit(call).await
     }
 
     /// Makes a single attempt to write a value if the key has the expected revision, zero meaning that it is absent.
--- a/crates/kumquatctl/src/submission.rs
+++ b/crates/kumquatctl/src/submission.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write as _;
 
 use eyre::eyre;
-use kumquat_state::bundle::submit::{Action, Answer, Call, Options, Outcome, Submission};
+use kumquat_state::bundle::submit::{Action, Answer, Options, Outcome, Submission};
 use kumquat_state::bundle::{Bundle, Change, Envelope, Surprise, check_change, diff};
 use kumquat_state::document::Head;
 use kumquat_transport::store;
@@ -12,7 +12,7 @@
 use crate::bundles;
 use crate::output::{Failure, Report, Status};
 use crate::settings::Settings;
-use crate::store::{Store, Write, backoff};
+use crate::store::{Store, backoff};
 use crate::trail;
 
 /// Verifies an envelope, checks what has to be confirmed, and submits it.
@@ -51,27 +51,7 @@
             Action::Finish(outcome) => return outcome,
             Action::Call(call) => call,
         };
-        let answer = match call {
-            Call::Get { key } => store.try_get(&key).await.map(|value| match value {
-                Some(value) => Answer::Found {
-                    revision: value.revision.0,
-                    value: value.bytes.to_vec(),
-                },
-                None => Answer::Missing,
-            }),
-            Call::Put {
-                key,
-                expected,
-                value,
-            } => store
-                .try_put(&key, expected, value)
-                .await
-                .map(|write| match write {
-                    Write::Stored => Answer::Stored,
-                    Write::Conflict => Answer::Conflict,
-                }),
-        };
-        let answer = match answer {
+        let answer = match store.submit(call).await {
             Ok(answer) => {
                 failures = 0;
                 answer
