Clarify names and comments of kumquat-dispatch

Cause: read by a newcomer, several comments need explaining, three constants are all named EVERY, a struct is named Handed, and one comment points to a page that does not exist (docs/CAPACITY.md). Change: intervals and the state of released buckets get the usual terms, comments say who does what and why, a parameter that is never used goes, and Roles says why a role stays open without authority. Conclusion: names and comments only.

--- a/crates/kumquat-dispatch/src/control.rs
+++ b/crates/kumquat-dispatch/src/control.rs
@@ -41,13 +41,13 @@
 /// Events that wait for the loop.
 pub const QUEUE: usize = 8_192;
 
-/// Time between two looks at what is due.
+/// Time between two checks for timers that have run out.
 const TICK: Duration = Duration::from_millis(20);
 
-/// Time between two words to the entries on how long they may rely on the bundle.
-const FRESHNESS_EVERY: Duration = Duration::from_millis(500);
+/// Time between two messages that tell the entries how long they may rely on the bundle.
+const FRESHNESS_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time without word from the store or the cell's majority after which caller keys are no longer accepted.
+/// Time without any message from the store or the cell's majority after which caller keys are no longer accepted.
 const FRESHNESS: Duration = Duration::from_secs(3);
 
 /// What happens to the control loop.
@@ -76,7 +76,7 @@
     },
     /// An entry wants documents.
     Subscribe(Subscriber),
-    /// The store was heard, whatever it said.
+    /// The store answered a call, whatever the answer was.
     StoreHeard,
     /// The store or a peer has a document.
     Document(Received),
@@ -106,7 +106,7 @@
 pub struct Subscriber {
     /// Link to the entry.
     pub link: link::Sender,
-    /// What it has.
+    /// The version that the entry has.
     pub pull: Pull,
 }
 
@@ -272,7 +272,7 @@
                 Vec::new()
             }
             Message::Release(release) => {
-                self.release(peer, link, release);
+                self.release(peer, release);
                 Vec::new()
             }
             Message::Confirmed(confirmed) => {
@@ -333,7 +333,7 @@
         self.act(actions);
         self.seek_fences(now);
         if now >= self.next_freshness {
-            self.next_freshness = now + FRESHNESS_EVERY;
+            self.next_freshness = now + FRESHNESS_INTERVAL;
             self.tell_entries(now);
             self.report_status(now);
             // Repeated, because a confirmation may be lost or the coordinator may be a new one.
--- a/crates/kumquat-dispatch/src/control/coordination.rs
+++ b/crates/kumquat-dispatch/src/control/coordination.rs
@@ -23,14 +23,14 @@
 use crate::platform::{self, InForce, Outcome, Written};
 
 /// Longest time between two plans while nothing is reported.
-const PLAN_EVERY: Duration = Duration::from_millis(100);
+const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time for which a new coordinator waits for the other VMs before it writes the first ledger.
 ///
 /// Members that are listed at once need not be added one by one.
 const FORMATION: Duration = Duration::from_secs(1);
 
-/// Time without word from a coordinator after which other VMs try to obtain the lease.
+/// Time without a heartbeat from a coordinator after which other VMs try to obtain the lease.
 ///
 /// It is longer than the lease's time to live, so that the first attempt usually succeeds.
 const SILENCE: Duration = Duration::from_millis(2_200);
@@ -47,7 +47,7 @@
     at: Instant,
 }
 
-/// What the coordinator's part knows.
+/// What this VM knows as the coordinator, or needs to know to become it.
 #[derive(Debug)]
 pub struct Coordination {
     platform: platform::Handle,
@@ -60,7 +60,7 @@
     /// VMs that leave according to the platform's list.
     listed_leaving: Vec<Vm>,
     other: Option<(Vm, Epoch, Instant)>,
-    /// What the members have in force, the latest word of each, sorted by holder.
+    /// What the members have in force, the latest confirmation of each, sorted by holder.
     confirmed: Vec<Confirmation>,
     writing: Option<Operation>,
     next_plan: Instant,
@@ -94,7 +94,7 @@
         self.lease.is_some()
     }
 
-    /// Notes that a holder has stopped acting for a role.
+    /// Records that a holder has stopped acting for a role.
     pub fn note_released(&mut self, role: Name, holder: Holder, revision: Revision) {
         self.released
             .retain(|old| old.role != role || old.holder != holder);
@@ -108,7 +108,7 @@
         self.next_plan = Instant::ORIGIN;
     }
 
-    /// Notes whether a VM wants to hand over its roles.
+    /// Records whether a VM is about to stop and wants to hand over its roles.
     pub fn note_leaving(&mut self, vm: &Vm, is_leaving: bool) {
         match (self.leaving.binary_search(vm), is_leaving) {
             (Err(index), true) => self.leaving.insert(index, vm.clone()),
@@ -117,7 +117,7 @@
         }
     }
 
-    /// Notes that a VM says it holds the coordinator's lease.
+    /// Records that a VM says it holds the coordinator's lease.
     pub fn note_coordinator(&mut self, now: Instant, vm: &Vm, epoch: Epoch) {
         let newer = self
             .other
@@ -142,7 +142,7 @@
             .map(|(vm, _, _)| vm)
     }
 
-    /// Notes what a member has in force.
+    /// Records what a member has in force.
     pub fn note_confirmed(&mut self, confirmation: Confirmation) {
         let found = self
             .confirmed
@@ -202,7 +202,7 @@
 }
 
 impl Control {
-    /// Takes note that this VM has got or lost the coordinator's lease.
+    /// Records that this VM has got or lost the coordinator's lease.
     pub(super) fn lease(&mut self, epoch: Option<Epoch>) {
         let now = clock::now();
         let coordination = &mut self.coordination;
@@ -225,7 +225,7 @@
         }
     }
 
-    /// Takes note of how a write of the ledger ended; the stored ledger itself arrives as a document.
+    /// Records how a write of the ledger ended; the stored ledger itself arrives as a document.
     pub(super) fn written(&mut self, written: Written) {
         if self.coordination.writing != Some(written.operation) {
             return;
@@ -253,7 +253,7 @@
         }
     }
 
-    /// Tells the coordinator which ledger is in force here; moves wait for all holders' word.
+    /// Tells the coordinator which ledger is in force here; moves wait for the confirmations of all holders.
     ///
     /// The groups are those that have been opened under this or an earlier ledger and not closed since.
     pub(super) fn confirm_ledger(&mut self) {
@@ -319,7 +319,7 @@
         let Some(bundle) = self.documents.bundle().filter(|_| idle) else {
             return;
         };
-        self.coordination.next_plan = now + PLAN_EVERY;
+        self.coordination.next_plan = now + PLAN_INTERVAL;
         let ledger = match self.documents.ledger() {
             Some(ledger) => ledger,
             None if now.saturating_since(since) >= FORMATION => Arc::default(),
@@ -436,7 +436,7 @@
         live
     }
 
-    /// Tells the tasks that talk to the store what is wanted of them at present.
+    /// Tells the store tasks whether to hold the coordinator's lease and whether to watch the store.
     pub(super) fn direct_platform(&self, now: Instant) {
         let coordination = &self.coordination;
         // A coordinator that is cut off from the majority can plan nothing, but would keep the lease as long as it
@@ -445,7 +445,8 @@
         let campaign = !self.leaving
             && (!is_formed || self.authority.may_act(now))
             && (coordination.is_coordinator() || coordination.coordinator(now).is_none());
-        // Few VMs watch the store: the coordinator, one per data centre, and those whom no majority keeps up to date.
+        // Few VMs watch the store: the coordinator, one per data centre, and those without authority, whose peers
+        // may be out of reach and send them no documents.
         let watch =
             coordination.is_coordinator() || !self.authority.may_act(now) || self.is_deputy(now);
         coordination.platform.direct(campaign, watch);
@@ -454,14 +455,14 @@
     /// Takes the platform's list of VMs as a hint: unknown VMs are connected to, leaving ones hand over their roles.
     pub(super) fn listed(&mut self, vms: &[list::Vm]) {
         for listed in vms {
-            self.peers.know_listed(&listed.vm, listed.address);
+            self.peers.add_listed(&listed.vm, listed.address);
         }
         let leaving: Vec<Vm> = vms
             .iter()
             .filter(|listed| listed.state == list::State::Leaving)
             .map(|listed| listed.vm.clone())
             .collect();
-        // A list that takes most of the cell for leaving is more likely wrong than right.
+        // A list that shows most of the cell as leaving is more likely to be wrong.
         let members = self.authority.membership().members.len();
         self.coordination.listed_leaving = if leaving.len() * 2 < members {
             leaving
--- a/crates/kumquat-dispatch/src/control/peers.rs
+++ b/crates/kumquat-dispatch/src/control/peers.rs
@@ -70,15 +70,15 @@
             links: Vec::new(),
         };
         for (vm, address) in configured {
-            peers.know(&vm, address, true);
+            peers.add(&vm, address, true);
         }
         peers
     }
 
-    /// Takes the addresses of members that the settings don't name.
+    /// Connects to members that the settings don't name, and drops VMs that are neither members nor configured.
     pub fn set_members(&mut self, membership: &Membership) {
         for member in &membership.members {
-            self.know(&member.vm, member.address, false);
+            self.add(&member.vm, member.address, false);
         }
         self.known.retain(|known| {
             let keep = known.is_configured || membership.member(&known.vm).is_some();
@@ -89,18 +89,18 @@
         });
     }
 
-    /// Takes the address of a VM that the platform lists; settings and membership go before it.
-    pub fn know_listed(&mut self, vm: &Vm, address: SocketAddr) {
+    /// Connects to a VM that the platform lists; addresses from settings and membership take precedence.
+    pub fn add_listed(&mut self, vm: &Vm, address: SocketAddr) {
         let is_known = self
             .known
             .binary_search_by(|known| known.vm.cmp(vm))
             .is_ok();
         if !is_known {
-            self.know(vm, address, false);
+            self.add(vm, address, false);
         }
     }
 
-    fn know(&mut self, vm: &Vm, address: SocketAddr, is_configured: bool) {
+    fn add(&mut self, vm: &Vm, address: SocketAddr, is_configured: bool) {
         if *vm == self.me {
             return;
         }
--- a/crates/kumquat-dispatch/src/control/roles.rs
+++ b/crates/kumquat-dispatch/src/control/roles.rs
@@ -13,7 +13,6 @@
 use kumquat_state::clock;
 use kumquat_state::ident::{Revision, Version};
 use kumquat_state::ledger::{Holder, Ledger, Name, Role};
-use kumquat_transport::link;
 
 use super::{Control, Event, Shared};
 use crate::entries::Directory;
@@ -25,7 +24,9 @@
 /// Reports and changes of local groups that wait for the control loop.
 const QUEUE: usize = 1_024;
 
-/// The roles for which this VM acts or may act again soon.
+/// The roles that are open on this VM: it acts for them while their permits are valid.
+///
+/// A role stays open when authority lapses, because the next promises of the majority may renew it.
 #[derive(Debug)]
 pub struct Roles {
     me: Holder,
@@ -37,7 +38,7 @@
     metrics: Metrics,
     // Sorted by name.
     active: Vec<Active>,
-    handovers: Vec<Handed>,
+    handovers: Vec<ReleasedBucket>,
     configured: (Version, Revision),
 }
 
@@ -49,9 +50,9 @@
     releasing: Option<Revision>,
 }
 
-/// A bucket that its home has released.
+/// The state of a team's token bucket, as its former home reported it when it released the role.
 #[derive(Clone, Debug)]
-struct Handed {
+struct ReleasedBucket {
     role: Name,
     /// Ledger revision at which it was released.
     revision: Revision,
@@ -59,7 +60,7 @@
 }
 
 impl Roles {
-    /// Creates the state of a VM that acts for nothing.
+    /// Creates the state of a VM without open roles.
     #[must_use]
     pub fn new(me: Holder, shared: &Shared, events: mpsc::Sender<Event>, metrics: Metrics) -> Self {
         let (reports, statuses) = mpsc::channel(QUEUE);
@@ -139,7 +140,7 @@
         self.homes.configure(bundle);
     }
 
-    /// Starts to release a role; the end is reported as [`Event::Released`].
+    /// Starts to release a role; [`Event::Released`] reports when the release is complete.
     pub fn release(&mut self, name: &Name, revision: Revision) {
         let Ok(index) = self.find(name) else {
             return self.report_released(name.clone(), revision, None);
@@ -160,7 +161,7 @@
             if let Some(group) = group {
                 let (done, wait) = oneshot::channel();
                 group.deliver(Command::Release(done)).await;
-                // A task that has ended has nothing running either.
+                // If the group's task has ended, it has no running requests.
                 drop(wait.await);
             }
             // The control loop ends only with the process.
@@ -177,17 +178,17 @@
         handover
     }
 
-    /// Keeps a bucket that a home has released, in case this VM takes the role over.
+    /// Stores the state of a bucket that a home has released, in case this VM takes the role over.
     pub fn note_handover(&mut self, role: &Name, revision: Revision, handover: Handover) {
-        self.handovers.retain(|handed| handed.role != *role);
-        self.handovers.push(Handed {
+        self.handovers.retain(|bucket| bucket.role != *role);
+        self.handovers.push(ReleasedBucket {
             role: role.clone(),
             revision,
             handover,
         });
     }
 
-    /// Returns the bucket with which this VM can go on, once.
+    /// Removes and returns the state from which a new home on this VM continues the bucket.
     ///
     /// Only the first holder of the very next holder list may use it: any other may follow a home that has issued
     /// credits in between. The epoch of a holder list is the ledger revision that set it.
@@ -195,10 +196,10 @@
         let index = self
             .handovers
             .iter()
-            .position(|handed| handed.role == role.name)?;
-        let handed = self.handovers.swap_remove(index);
-        let follows = role.epoch.0 == handed.revision.0 + 1;
-        (rank == 0 && follows).then_some(handed.handover)
+            .position(|bucket| bucket.role == role.name)?;
+        let bucket = self.handovers.swap_remove(index);
+        let follows = role.epoch.0 == bucket.revision.0 + 1;
+        (rank == 0 && follows).then_some(bucket.handover)
     }
 
     /// Closes all roles.
@@ -271,7 +272,7 @@
         })
     }
 
-    /// Hands a new bundle or ledger to the groups.
+    /// Passes a new bundle or ledger to the groups.
     fn configure(&mut self, bundle: &Arc<Bundle>, ledger: &Arc<Ledger>) {
         let versions = (bundle.version, ledger.revision);
         if self.configured == versions {
@@ -305,7 +306,7 @@
 
 impl Control {
     /// Handles a coordinator's request to release a role, or a holder's answer to one.
-    pub(super) fn release(&mut self, peer: &Identity, _link: &link::Sender, release: Release) {
+    pub(super) fn release(&mut self, peer: &Identity, release: Release) {
         let revision = Revision(release.revision);
         if release.done {
             if let Some((level, outstanding)) = release.bucket {
--- a/crates/kumquat-dispatch/src/entries.rs
+++ b/crates/kumquat-dispatch/src/entries.rs
@@ -19,7 +19,9 @@
 use crate::metrics::Metrics;
 use crate::streams::Streams;
 
-/// When an entry may try again at this process; the entry finds the acting holder much sooner elsewhere.
+/// Time after which a refused request may be sent to this process again, in milliseconds.
+///
+/// An entry usually learns of the acting holder from another VM before that.
 const RETRY_AFTER_MS: u32 = 50;
 
 /// The groups for which this VM acts, sorted by role.
@@ -164,7 +166,7 @@
             None => arrive(&group, pending(Payload::Whole(bytes::Bytes::new()))),
             Some(incoming) => {
                 tokio::spawn(async move {
-                    // A body that breaks off before it was handed on ends the stream without a trace.
+                    // A body that breaks off before its request reached a group needs no answer.
                     if let Ok(payload) = Payload::collect(incoming).await {
                         arrive(&group, pending(payload));
                     }
--- a/crates/kumquat-dispatch/src/handshakes.rs
+++ b/crates/kumquat-dispatch/src/handshakes.rs
@@ -5,10 +5,10 @@
 
 /// Most handshakes that run at once; each ends within a second.
 ///
-/// A cell and the entries of a data centre that all return at once stay well below it.
+/// A cell and the entries of a data centre that all reconnect at once stay well below it.
 pub const TOTAL: usize = 256;
 
-/// Most handshakes of one address that run at once, so that a single stranger keeps no peer from returning.
+/// Most handshakes of one address that run at once, so that one unauthenticated host can't keep peers from reconnecting.
 pub const PER_ADDRESS: usize = 32;
 
 /// The handshakes that run at present; clones share them.
--- a/crates/kumquat-dispatch/src/home.rs
+++ b/crates/kumquat-dispatch/src/home.rs
@@ -26,7 +26,7 @@
 }
 
 impl Homes {
-    /// Starts a bucket: with what an earlier home handed over, or else at level zero.
+    /// Starts a bucket: in the state that the former home handed over, or else at level zero.
     pub fn open(
         &self,
         bundle: &Bundle,
@@ -54,7 +54,7 @@
         }
     }
 
-    /// Ends a bucket and returns what the next home can go on with.
+    /// Ends a bucket and returns the state from which the next home can continue.
     pub fn close(&self, name: &ident::Team) -> Option<Handover> {
         let mut buckets = self.lock();
         let index = buckets
@@ -80,7 +80,8 @@
         let mut buckets = self.lock();
         let found = buckets.binary_search_by(|bucket| bucket.team.cmp(&request.team));
         let bucket = found.ok().map(|index| &mut buckets[index]);
-        // Permission is checked at the moment of issuing: a home that was paused must not issue beside its successor.
+        // Permission is checked at the moment of issuing: a home that was paused must not issue credits while its
+        // successor does.
         let Some(bucket) = bucket.filter(|bucket| bucket.permit.until().is_some()) else {
             return Credit::not_acting(&request.team, request.sequence);
         };
--- a/crates/kumquat-dispatch/src/hot.rs
+++ b/crates/kumquat-dispatch/src/hot.rs
@@ -6,7 +6,8 @@
 
 /// Time over which requests are counted before they are reported.
 ///
-/// Hot keys have to be moved within minutes; ten seconds of counting keep single bursts from moving anything.
+/// Hot keys have to be moved within minutes; counting for ten seconds keeps short bursts from
+/// causing moves.
 const PERIOD: Duration = Duration::from_secs(10);
 
 /// Counts requests by slot and key.
--- a/crates/kumquat-dispatch/src/platform.rs
+++ b/crates/kumquat-dispatch/src/platform.rs
@@ -69,7 +69,7 @@
     pub outcome: Outcome,
 }
 
-/// What the control loop wants of the tasks at present.
+/// What the control loop asks the tasks to do at present.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Direction {
     campaign: bool,
@@ -101,7 +101,7 @@
     ended: CancellationToken,
 }
 
-/// Checks that the options make a client.
+/// Checks that a store client can be opened with the options.
 ///
 /// # Errors
 ///
--- a/crates/kumquat-dispatch/src/platform/documents.rs
+++ b/crates/kumquat-dispatch/src/platform/documents.rs
@@ -149,14 +149,14 @@
     Ok(())
 }
 
-/// Returns the failure of a read that does not show what a watch has reported.
+/// Returns the failure of a read that returned an older revision than a watch has reported.
 fn stale() -> Failure {
     Failure::Unavailable {
         reason: "the read is behind a change that the store has reported".to_owned(),
     }
 }
 
-/// Decodes a head; a malformed one can't be mended by reading it again and is left until it is replaced.
+/// Decodes a head; a malformed one is not read again until it has been replaced.
 pub fn decode(value: &Value) -> Option<Head> {
     Head::decode(&value.bytes).ok()
 }
--- a/crates/kumquat-dispatch/src/platform/lease.rs
+++ b/crates/kumquat-dispatch/src/platform/lease.rs
@@ -18,7 +18,7 @@
 const TIME_TO_LIVE: Duration = Duration::from_secs(2);
 
 /// Time between renewals; two of them may fail before the lease lapses.
-const RENEW_EVERY: Duration = Duration::from_millis(600);
+const RENEW_INTERVAL: Duration = Duration::from_millis(600);
 
 /// Longest wait before a VM tries to obtain a free lease, so that not all VMs try at once.
 const JITTER: Duration = Duration::from_millis(300);
@@ -43,7 +43,7 @@
                 context.report(Event::Lease(None)).await;
             }
             Err(_) => {
-                if !context.sleep(RENEW_EVERY).await {
+                if !context.sleep(RENEW_INTERVAL).await {
                     return;
                 }
             }
@@ -57,7 +57,7 @@
     let lasts = clock::shortened(TIME_TO_LIVE);
     let mut valid_until = begun + lasts;
     loop {
-        let wait = tokio::time::sleep(RENEW_EVERY);
+        let wait = tokio::time::sleep(RENEW_INTERVAL);
         tokio::select! {
             () = context.ended.cancelled() => break,
             _ = context.direction.wait_for(|direction| !direction.campaign) => break,
--- a/crates/kumquat-dispatch/src/platform/segments.rs
+++ b/crates/kumquat-dispatch/src/platform/segments.rs
@@ -1,6 +1,7 @@
 //! The `segments` module provides the task that stores this VM's part of the audit trail.
 //!
-//! All VMs of a cell write one chain: each segment is created under the next free number, so that a gap shows.
+//! All VMs of a cell write one chain: each segment is created under the next free number, so that a lost
+//! segment leaves a gap in the numbers.
 
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
 use crate::audit::Trail;
 
 /// Time between two segments of one VM; with few changes there are none.
-const EVERY: Duration = Duration::from_secs(5);
+const STORE_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Times that a VM looks for the end of the chain while other VMs append to it.
 const APPEND_TRIES: u32 = 16;
@@ -22,7 +23,7 @@
 /// Stores segments until the run ends.
 pub async fn store(context: Context, trail: Trail) {
     let mut last: Option<Segment> = None;
-    while context.sleep(EVERY).await {
+    while context.sleep(STORE_INTERVAL).await {
         let entries = trail.take(SEGMENT_ENTRY_LIMIT);
         if entries.is_empty() {
             continue;
--- a/crates/kumquat-dispatch/src/platform/status.rs
+++ b/crates/kumquat-dispatch/src/platform/status.rs
@@ -1,7 +1,7 @@
 //! The `status` module provides the task that stores what each VM of the cell has in force.
 //!
 //! The coordinator writes one report for the whole cell, because a report per VM would cost the store 1,700 writes for
-//! each change of configuration at the size of `docs/CAPACITY.md`.
+//! each change of configuration at the size of `docs/design.md`, section 1.5.
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -16,10 +16,10 @@
 /// Key of the report in the store; operators list the prefix, because there will be one report per cell.
 const KEY: &str = "status/cell";
 
-/// Shortest time between two reports.
-const EVERY: Duration = Duration::from_secs(1);
+/// Time between two checks whether the report has changed; reports are no more frequent.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Longest time between two reports; an older one shows that the cell has no coordinator or no store.
+/// Longest time between two reports; operators can tell from an older one that the cell has no coordinator or no store.
 const REFRESH: Duration = Duration::from_secs(30);
 
 /// What a VM has in force.
@@ -45,7 +45,7 @@
     let mut revision = None;
     let mut stored: Vec<InForce> = Vec::new();
     let mut refresh = tokio::time::Instant::now();
-    while context.sleep(EVERY).await {
+    while context.sleep(CHECK_INTERVAL).await {
         let report = reports.borrow_and_update().clone();
         let is_due = report != stored || tokio::time::Instant::now() >= refresh;
         if report.is_empty() || !is_due {
--- a/crates/kumquat-dispatch/src/server.rs
+++ b/crates/kumquat-dispatch/src/server.rs
@@ -32,7 +32,7 @@
 use crate::metrics::Metrics;
 use crate::platform;
 
-/// Time between two looks at whether all roles have been handed over.
+/// Time between two checks whether all roles have been handed over.
 const HANDOVER_POLL: Duration = Duration::from_millis(20);
 
 /// What a dispatch process needs to start.
