--- a/crates/kumquatctl/src/submission.rs
+++ b/crates/kumquatctl/src/submission.rs
@@ -3,15 +3,16 @@
 use std::fmt::Write as _;
 
 use eyre::eyre;
-use kumquat_state::bundle::submit::{Action, Answer, Call, Options, Outcome, Submission};
+use kumquat_state::bundle::submit::{Action, Answer, Options, Outcome, Submission};
 use kumquat_state::bundle::{Bundle, Change, Envelope, Surprise, check_change, diff};
 use kumquat_state::document::Head;
+use kumquat_transport::store;
 use serde_json::{Value, json};
 
 use crate::bundles;
 use crate::output::{Failure, Report, Status};
 use crate::settings::Settings;
-use crate::store::{self, Error, Store, Write};
+use crate::store::{Store, backoff};
 use crate::trail;
 
 /// Verifies an envelope, checks what has to be confirmed, and submits it.
@@ -50,37 +51,17 @@
             Action::Finish(outcome) => return outcome,
             Action::Call(call) => call,
         };
-        let answer = match call {
-            Call::Get { key } => store.try_get(&key).await.map(|value| match value {
-                Some(value) => Answer::Found {
-                    revision: value.revision,
-                    value: value.bytes,
-                },
-                None => Answer::Missing,
-            }),
-            Call::Put {
-                key,
-                expected,
-                value,
-            } => store
-                .try_put(&key, expected, value)
-                .await
-                .map(|write| match write {
-                    Write::Stored => Answer::Stored,
-                    Write::Conflict => Answer::Conflict,
-                }),
-        };
-        let answer = match answer {
+        let answer = match store.submit(call).await {
             Ok(answer) => {
                 failures = 0;
                 answer
             }
             Err(error) => {
                 failures += 1;
-                store::backoff(failures).await;
+                backoff(failures).await;
                 match error {
-                    Error::Refused(_) => Answer::Refused,
-                    Error::Lost(_) => Answer::Lost,
+                    store::Failure::Unknown { .. } => Answer::Lost,
+                    _ => Answer::Refused,
                 }
             }
         };
