Avoid shared locks and cleared buffers on links

Each message on a link registered with the lock of its cancellation token before it was sent, received or written, and each decoded frame cleared a new buffer of 4 KiB. The token is now checked first and waited for only when the queue or the socket is not ready; the decoder keeps its buffer, and frames start with room for a usual head.

--- a/crates/kumquat-protocol/src/frame.rs
+++ b/crates/kumquat-protocol/src/frame.rs
@@ -15,6 +15,12 @@
 /// Length of the digest at the head of each frame, in bytes.
 const TAG: usize = 16;
 
+/// Capacity of a new frame in bytes; the heads of most requests and answers fit without another allocation.
+const CAPACITY: usize = 1024;
+
+/// Size of the decoder's buffer in bytes; longer texts are decoded in pieces.
+const SCRATCH: usize = 4096;
+
 /// Seals the messages of one direction of a connection.
 #[derive(Debug)]
 pub struct Sealer {
@@ -27,6 +33,17 @@
 pub struct Opener {
     key: Key,
     counter: u64,
+    // Kept between frames, because clearing a new one costs more than decoding a short message.
+    scratch: Scratch,
+}
+
+/// Buffer of the decoder.
+struct Scratch(Box<[u8]>);
+
+impl std::fmt::Debug for Scratch {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Scratch(..)")
+    }
 }
 
 /// Key of one direction of a connection.
@@ -50,7 +67,8 @@
     /// Returns [`Error::Oversized`] if the frame would exceed [`LIMIT`].
     pub fn seal(&mut self, message: &Message) -> Result<Vec<u8>> {
         // The digest is written over the placeholder once the message is encoded behind it.
-        let mut frame = vec![0; TAG];
+        let mut frame = Vec::with_capacity(CAPACITY);
+        frame.resize(TAG, 0);
         ciborium::into_writer(message, &mut frame)
             .map_err(|error| Error::malformed(error.to_string()))?;
         if frame.len() > LIMIT {
@@ -65,8 +83,12 @@
 }
 
 impl Opener {
-    pub(crate) const fn new(key: Key) -> Self {
-        Self { key, counter: 0 }
+    pub(crate) fn new(key: Key) -> Self {
+        Self {
+            key,
+            counter: 0,
+            scratch: Scratch(vec![0; SCRATCH].into()),
+        }
     }
 
     /// Checks and decodes a frame.
@@ -89,7 +111,8 @@
         }
         self.counter += 1;
 
-        ciborium::from_reader(body).map_err(|error| Error::malformed(error.to_string()))
+        ciborium::de::from_reader_with_buffer(body, &mut self.scratch.0)
+            .map_err(|error| Error::malformed(error.to_string()))
     }
 }
 
--- a/crates/kumquat-transport/src/link.rs
+++ b/crates/kumquat-transport/src/link.rs
@@ -367,10 +367,13 @@
     closed: CancellationToken,
 ) {
     loop {
+        if closed.is_cancelled() {
+            break;
+        }
         let message = tokio::select! {
             biased;
-            () = closed.cancelled() => break,
             message = messages.recv() => message,
+            () = closed.cancelled() => break,
         };
         let Some(message) = message else { break };
         let batch = writer.write_batch(message, &mut messages);
@@ -411,10 +414,14 @@
     ///
     /// Returns [`Error::Closed`] if the link has ended.
     pub async fn send(&self, message: Message) -> Result<()> {
+        if self.closed.is_cancelled() {
+            return Err(Error::Closed);
+        }
+        // The queue comes first: waiting for the end registers with a lock that all users of the link share.
         tokio::select! {
             biased;
-            () = self.closed.cancelled() => Err(Error::Closed),
             sent = self.queue.send(message) => sent.or(Err(Error::Closed)),
+            () = self.closed.cancelled() => Err(Error::Closed),
         }
     }
 
@@ -470,10 +477,14 @@
     /// is closed.
     pub async fn next(&mut self) -> Result<Message> {
         loop {
-            let packet = tokio::select! {
-                biased;
-                () = self.closed.cancelled() => None,
-                packet = self.packets.next() => packet,
+            let packet = if self.closed.is_cancelled() {
+                None
+            } else {
+                tokio::select! {
+                    biased;
+                    packet = self.packets.next() => packet,
+                    () = self.closed.cancelled() => None,
+                }
             };
             let result = match packet {
                 Some(Ok(Packet::Binary(frame))) => self.opener.open(&frame).map_err(Error::from),
--- a/crates/kumquat-transport/src/stream.rs
+++ b/crates/kumquat-transport/src/stream.rs
@@ -102,8 +102,8 @@
             let size = u32::try_from(part.len()).unwrap_or(u32::MAX);
             tokio::select! {
                 biased;
-                () = self.link.closed() => return Err(Error::Closed),
                 permits = self.window.acquire_many(size) => permits.or(Err(Error::Cancelled))?.forget(),
+                () = self.link.closed() => return Err(Error::Closed),
             }
             self.link.send(self.body(part, false)).await?;
         }
