Free idle slots at once in the upstream stand-in

Cause: the measurement of a data centre that leaves and returns counted runs at a wrong owner: "slot 193 is held by repair-status-05" while repair-status-04 ran a key of it. When an order takes several slots away, the stand-in recorded their release only after the last request in any of them had finished. It started nothing in the idle ones meanwhile and reported only the keys still running, so the coordinator rightly gave the idle slots to the next owner.

Change: the stand-in records the release of each area as soon as no request runs under its grant, and does so before it answers. The check itself is unchanged. A new test gives up eight slots with one request running: a run in an idle slot at the next owner is allowed, a run in the busy one is counted. It fails without the change.

Conclusion: the router was right, the observer was not.

--- a/crates/kumquat-standins/src/upstream/serve.rs
+++ b/crates/kumquat-standins/src/upstream/serve.rs
@@ -189,13 +189,15 @@
                 state.grants.release(*area);
             }
             self.record_grant(&mut state, &granted, &grant);
+            // What nobody works on is free before the answer says so.
+            self.finish_idle(&mut state, &mut released);
             released
         };
         if grant.whole {
             let core = Arc::clone(&self);
-            tokio::spawn(async move { core.finish(&released).await });
+            tokio::spawn(async move { core.finish(released).await });
         } else {
-            self.finish(&released).await;
+            self.finish(released).await;
         }
 
         let state = lock(&self.state);
@@ -226,24 +228,32 @@
         }
     }
 
-    /// Waits until no request runs in the areas, then records their release.
-    async fn finish(&self, areas: &[Area]) {
+    /// Records the release of each area once no request runs in it.
+    async fn finish(&self, mut areas: Vec<Area>) {
         loop {
             let ended = self.ended.notified();
             tokio::pin!(ended);
             ended.as_mut().enable();
-            if !lock(&self.state).is_running_in(areas) {
-                break;
+            self.finish_idle(&mut lock(&self.state), &mut areas);
+            if areas.is_empty() {
+                return;
             }
             ended.await;
         }
+    }
+
+    /// Records the release of the areas in which no request runs, and keeps the others.
+    fn finish_idle(&self, state: &mut State, areas: &mut Vec<Area>) {
         let Options { service, name, .. } = &self.options;
-        let mut state = lock(&self.state);
-        for area in areas {
+        areas.retain(|area| {
+            if state.is_running_in(*area) {
+                return true;
+            }
             if state.grants.finish_release(*area) {
                 self.ledger.released(service, name, *area);
             }
-        }
+            false
+        });
     }
 
     fn granted(&self, state: &State, rejection: Option<Refused>) -> Granted {
--- a/crates/kumquat-standins/src/upstream/state.rs
+++ b/crates/kumquat-standins/src/upstream/state.rs
@@ -253,10 +253,11 @@
         }
     }
 
-    /// Returns whether a request runs in one of the areas.
-    pub(super) fn is_running_in(&self, areas: &[Area]) -> bool {
+    /// Returns whether a request runs in the area that is not covered by the grant of another one.
+    pub(super) fn is_running_in(&self, area: Area) -> bool {
         self.areas.iter().any(|(_, key, slot)| {
-            areas.contains(&Area::Slot(*slot)) || areas.contains(&Area::Key(*key))
+            let is_inside = area == Area::Slot(*slot) || area == Area::Key(*key);
+            is_inside && self.grants.covering(*key, *slot, 0).is_none()
         })
     }
 
--- a/crates/kumquat-transport/tests/upstream.rs
+++ b/crates/kumquat-transport/tests/upstream.rs
@@ -434,6 +434,52 @@
     upstream.stop().await;
 }
 
+/// Guards against a slot that counts as held because another slot of the same order still finishes a request; a run of
+/// the next owner was reported as a second owner's.
+#[tokio::test]
+async fn idle_slots_are_free_while_others_finish() {
+    let (upstream, client, ledger) = upstream(keyed()).await;
+    let known = learn(&client).await;
+    let granted = client.grant(&lower_half(&known), AMPLE).await;
+    let call = Call {
+        key: Some(0),
+        fence: ident::Fence(256),
+        ..get("/?mode=never", AMPLE)
+    };
+    let running = tokio::spawn({
+        let client = client.clone();
+        async move { client.send(call).await.map(drop) }
+    });
+    until(|| upstream.counts().running == 1).await;
+
+    let nothing = Grant {
+        sequence: 1,
+        whole: true,
+        spans: Vec::new(),
+        ..lower_half(&known)
+    };
+    let given_up = client.grant(&nothing, AMPLE).await.expect("accepted");
+    let run_elsewhere = |key: u64, slot: u32| Run {
+        service: keyed().service,
+        upstream: "next".to_owned(),
+        request: u128::from(key),
+        team: String::new(),
+        idempotent: false,
+        key: Some((key, slot)),
+        grant: Some((Area::Slot(slot), 2)),
+    };
+    ledger.started(&run_elsewhere(7 << 60, 7), clock::now());
+    let of_idle_slot = ledger.report().wrong_owner;
+    ledger.started(&run_elsewhere(0, 0), clock::now());
+
+    assert!(granted.is_ok(), "{granted:?}");
+    assert_eq!(given_up.finishing.len(), 1);
+    assert_eq!(of_idle_slot, 0, "{:?}", ledger.report());
+    assert_eq!(ledger.report().wrong_owner, 1);
+    running.abort();
+    upstream.stop().await;
+}
+
 /// Guards against work that a frozen upstream does, and against an upstream that does not come back.
 #[tokio::test]
 async fn a_frozen_upstream_answers_nothing_until_it_thaws() {
