Share the comparison of rate limits between example and bench

Cause: kumquat-bench held a copy of the example limit_compare, 200 lines of buckets, traffic and runs, so that a change of one would have left the other behind.

Change: the runs stand once in examples/limit_compare/model.rs, which kumquat-bench includes as it already includes those of dispatch_tuning. The command of the example is the same.

Conclusion: both judge the same runs.

--- a/crates/kumquat-bench/src/policy.rs
+++ b/crates/kumquat-bench/src/policy.rs
@@ -8,6 +8,7 @@
 use crate::report::Report;
 use crate::settings::Settings;
 
+#[path = "../../kumquat-coordination/examples/limit_compare/model.rs"]
 mod buckets;
 mod cold;
 mod data_centre;
--- a/crates/kumquat-bench/src/policy/buckets.rs
+++ b/crates/kumquat-coordination/examples/limit_compare/model.rs
@@ -1,6 +1,6 @@
-//! The `buckets` module compares three ways to enforce a team's rate over 9 VMs in virtual time.
+//! The `model` module enforces a team's rate over 9 VMs in three ways, in virtual time.
 //!
-//! It follows `examples/limit_compare.rs` of the coordination crate. A request counts as refused within rate if an exact
+//! `kumquat-bench` judges the same runs, so that both have one copy. A request counts as refused within rate if an exact
 //! bucket that sees all requests without delay would have admitted it.
 
 use std::collections::{BTreeSet, VecDeque};
@@ -16,13 +16,16 @@
 const VMS: usize = 9;
 const STEP_MICROS: u64 = 100;
 const DELAY_MICROS: u64 = 500;
+/// Time at the beginning of a run whose requests are not judged.
 const WARM_UP: Duration = Duration::from_secs(2);
 
 /// Traffic of one team.
 #[derive(Clone, Copy, Debug)]
 pub struct Load {
-    rate: u32,
-    burst: u32,
+    /// Requests per second.
+    pub rate: u32,
+    /// Requests at once.
+    pub burst: u32,
     /// Offered load relative to the rate.
     pub factor: f64,
     /// Time after which the traffic moves to other VMs.
