Share how upstream calls and grants wait for an answer

Cause: requests and grants repeated the wait for the headers with its two failures, and the store client had an error of its own for an HTTP client that can't be set up, equal to that of the upstream client.

Change: both kinds of calls use one function, and the store client uses the upstream client's error under the same name.

Conclusion: no behaviour changes, messages of errors included.

--- a/crates/kumquat-transport/src/store.rs
+++ b/crates/kumquat-transport/src/store.rs
@@ -15,7 +15,9 @@
 mod failure;
 mod submission;
 
-pub use failure::{Error, Failure};
+pub use failure::Failure;
+
+pub use crate::upstream::Error;
 
 /// Largest value in bytes.
 pub const VALUE_LIMIT: usize = 1 << 20;
--- a/crates/kumquat-transport/src/store/failure.rs
+++ b/crates/kumquat-transport/src/store/failure.rs
@@ -7,19 +7,6 @@
 
 use crate::upstream::chain;
 
-/// Failure to open a client.
-#[derive(Debug, thiserror::Error)]
-#[error("cannot set up the HTTP client: {source}")]
-pub struct Error {
-    source: reqwest::Error,
-}
-
-impl Error {
-    pub(super) fn open(source: reqwest::Error) -> Self {
-        Self { source }
-    }
-}
-
 /// Failure of a call to the store.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Failure {
--- a/crates/kumquat-transport/src/upstream.rs
+++ b/crates/kumquat-transport/src/upstream.rs
@@ -328,16 +328,7 @@
             .request(call.method, url)
             .headers(headers)
             .body(call.body.inner);
-        let response = tokio::time::timeout_at(deadline, request.send())
-            .await
-            .map_err(|_elapsed| Failure::timed_out("the answer"))?
-            .map_err(|error| Failure::of(&error))?;
-
-        let answer = Answer {
-            response,
-            deadline,
-            _permit: permit,
-        };
+        let answer = receive(request, deadline, permit).await?;
         if is_not_run(&answer) {
             let clock = answer.clock();
             let status = answer.status();
@@ -359,15 +350,7 @@
         let permit = self.permit(deadline).await?;
         let url = format!("http://{}/grant", self.address);
         let request = self.http.post(url).json(grant);
-        let response = tokio::time::timeout_at(deadline, request.send())
-            .await
-            .map_err(|_elapsed| Failure::timed_out("the answer"))?
-            .map_err(|error| Failure::of(&error))?;
-        let answer = Answer {
-            response,
-            deadline,
-            _permit: permit,
-        };
+        let answer = receive(request, deadline, permit).await?;
         let status = answer.status();
         let body = answer.bytes(GRANTED_LIMIT).await?;
         let granted = serde_json::from_slice(&body).ok();
@@ -411,6 +394,23 @@
 /// Longest answer to a grant.
 const GRANTED_LIMIT: usize = 1 << 20;
 
+/// Sends a request and returns its answer once the headers have arrived.
+async fn receive(
+    request: reqwest::RequestBuilder,
+    deadline: Instant,
+    permit: OwnedSemaphorePermit,
+) -> Result<Answer, Failure> {
+    let response = tokio::time::timeout_at(deadline, request.send())
+        .await
+        .map_err(|_elapsed| Failure::timed_out("the answer"))?
+        .map_err(|error| Failure::of(&error))?;
+    Ok(Answer {
+        response,
+        deadline,
+        _permit: permit,
+    })
+}
+
 /// Returns whether the upstream states that the request did not run.
 fn is_not_run(answer: &Answer) -> bool {
     let outcome = answer.headers().get("kumquat-outcome");
--- a/crates/kumquat-transport/src/upstream/failure.rs
+++ b/crates/kumquat-transport/src/upstream/failure.rs
@@ -14,7 +14,7 @@
 }
 
 impl Error {
-    pub(super) fn open(source: reqwest::Error) -> Self {
+    pub(crate) fn open(source: reqwest::Error) -> Self {
         Self { source }
     }
 }
