Share the checks of the hang-up tests

Cause: three tests repeated the wait for the entry's counter of hung-up callers, and four the check that the slot is free again, with and without its message.

Change: both stand once as functions at the end of the file. All tests keep their assertions; one gains the message.

Conclusion: a change of either check reaches all tests.

--- a/crates/kumquat-local/tests/hang_up.rs
+++ b/crates/kumquat-local/tests/hang_up.rs
@@ -20,16 +20,9 @@
     drop(caller);
 
     until("the request is cancelled", || site.running() == 0).await;
-    until("the entry has noticed", || {
-        site.entry.metrics().hung_up.get() == 1
-    })
-    .await;
+    until_noticed(&site).await;
     assert_eq!(site.sum(|counts| counts.cancelled), 1);
-    assert_eq!(
-        site.post("/bench/b", "").await.status,
-        200,
-        "the slot is free again"
-    );
+    assert_slot_is_free(&site).await;
     site.finish().await;
 }
 
@@ -51,13 +44,10 @@
         queued(&site) == 0
     })
     .await;
-    until("the entry has noticed", || {
-        site.entry.metrics().hung_up.get() == 1
-    })
-    .await;
+    until_noticed(&site).await;
     drop(first);
     until("the first request is cancelled", || site.running() == 0).await;
-    assert_eq!(site.post("/bench/b", "").await.status, 200);
+    assert_slot_is_free(&site).await;
     assert_eq!(
         site.sum(|counts| counts.started),
         started + 1,
@@ -79,11 +69,7 @@
     drop(caller);
 
     until("the request is cancelled", || site.running() == 0).await;
-    assert_eq!(
-        site.post("/bench/b", "").await.status,
-        200,
-        "the slot is free again"
-    );
+    assert_slot_is_free(&site).await;
     assert_eq!(
         site.sum(|counts| counts.started),
         started + 2,
@@ -109,15 +95,8 @@
     drop(caller);
 
     until("the request is cancelled", || site.running() == 0).await;
-    until("the entry has noticed", || {
-        site.entry.metrics().hung_up.get() == 1
-    })
-    .await;
-    assert_eq!(
-        site.post("/bench/b", "").await.status,
-        200,
-        "the slot is free again"
-    );
+    until_noticed(&site).await;
+    assert_slot_is_free(&site).await;
     site.finish().await;
 }
 
@@ -141,6 +120,22 @@
     site.finish().await;
 }
 
+/// Waits until the entry has counted a caller that hung up.
+async fn until_noticed(site: &Site) {
+    until("the entry has noticed", || {
+        site.entry.metrics().hung_up.get() == 1
+    })
+    .await;
+}
+
+async fn assert_slot_is_free(site: &Site) {
+    assert_eq!(
+        site.post("/bench/b", "").await.status,
+        200,
+        "the slot is free again"
+    );
+}
+
 fn queued(site: &Site) -> i64 {
     let dispatch = site
         .deployment
