Hand requests of a leaving data centre to other groups

Cause: a group whose data centre is taken out refused waiting and arriving pool requests with NoUpstream, which the entry reads as a lack of room. An entry that had not seen the new bundle yet spent its tries, one per other data centre and without a pause, all on the group that was leaving, since it reported no load, and then refused the caller.

Ruled out: the deadline (refusals came after 2 to 50 ms) and the retry budget (not drawn on by requests that did not run).

Change: a group without any upstream that takes work refuses with Withdrawn, which travels as draining; the entry backs off and looks the group up again instead of using up its tries. The new state machine test fails without the change.

--- a/crates/kumquat-coordination/src/dispatch.rs
+++ b/crates/kumquat-coordination/src/dispatch.rs
@@ -189,9 +189,9 @@
             request.last_server = None;
         }
         // Requests that wait for an upstream that takes no work would wait in vain.
-        if self.servers.iter().all(|server| !server.takes_work) {
+        if self.is_withdrawn() {
             for handle in self.queue.drain() {
-                self.refuse(handle, Reason::NoUpstream, f64::INFINITY, out);
+                self.refuse(handle, Reason::Withdrawn, f64::INFINITY, out);
             }
         }
         for index in 0..self.servers.len() {
@@ -204,6 +204,11 @@
         self.pump(now, out);
     }
 
+    /// Returns whether no upstream of the group takes work, as after its data centre was taken out.
+    fn is_withdrawn(&self) -> bool {
+        self.servers.iter().all(|server| !server.takes_work)
+    }
+
     fn new_server(&self, upstream: &Upstream) -> Server {
         let mut queue = Queue::new(self.options.queue);
         queue.set_weights(&self.weights);
@@ -272,6 +277,10 @@
         let server = match (self.kind, target) {
             (Kind::Pool, _) if self.servers.iter().any(Server::is_usable) => None,
             (Kind::Keyed, Some(Some(index))) => Some(index),
+            (Kind::Pool, _) if self.is_withdrawn() => {
+                self.refuse(handle, Reason::Withdrawn, f64::INFINITY, out);
+                return;
+            }
             _ => {
                 self.refuse(handle, Reason::NoUpstream, f64::INFINITY, out);
                 return;
--- a/crates/kumquat-coordination/src/dispatch/action.rs
+++ b/crates/kumquat-coordination/src/dispatch/action.rs
@@ -73,6 +73,8 @@
     QueueFull,
     /// No upstream takes it.
     NoUpstream,
+    /// The upstreams of the group were all taken out of service; another group may take it.
+    Withdrawn,
     /// The group takes no new requests, because this VM is about to stop acting for it.
     Stopping,
     /// Its deadline passed.
--- /dev/null
+++ b/crates/kumquat-coordination/tests/dispatch_withdrawn.rs
@@ -0,0 +1,59 @@
+//! Guards requests that reach a group whose data centre leaves: another group must get them.
+
+use std::time::Duration;
+
+use kumquat_coordination::dispatch::{Action, Arrival, Group, Options, Reason, Upstream};
+use kumquat_state::bundle::{Class, Kind};
+use kumquat_state::clock::Instant;
+
+fn now() -> Instant {
+    Instant::from_millis(1)
+}
+
+fn upstream(takes_work: bool) -> Upstream {
+    Upstream {
+        name: "upstream-0".parse().expect("a valid name"),
+        slots: 1,
+        cold_slots: 1,
+        cold_step: 8,
+        takes_work,
+    }
+}
+
+fn arrival(id: u64) -> Arrival {
+    Arrival {
+        id,
+        team: "pilots".parse().expect("a valid name"),
+        class: Class::Ordinary,
+        idempotent: true,
+        deadline: now() + Duration::from_secs(2),
+        target: None,
+    }
+}
+
+fn refusals(actions: &[Action]) -> Vec<(u64, Reason)> {
+    let refusal = |action: &Action| match action {
+        Action::Refuse { id, reason, .. } => Some((*id, *reason)),
+        _ => None,
+    };
+    actions.iter().filter_map(refusal).collect()
+}
+
+/// Guards against a queued or arriving request that is refused as if the service had no room, so that the entry gives up
+/// after as many tries as there are data centres, all of them at the group that leaves.
+#[test]
+fn requests_of_a_leaving_data_centre_are_told_apart_from_those_without_room() {
+    let mut group = Group::new(Kind::Pool, Options::default(), 1);
+    let mut actions = Vec::new();
+    group.set_upstreams(now(), &[upstream(true)], &mut actions);
+    group.arrive(now(), arrival(1), &mut actions);
+    group.arrive(now(), arrival(2), &mut actions);
+    actions.clear();
+
+    group.set_upstreams(now(), &[upstream(false)], &mut actions);
+    group.arrive(now(), arrival(3), &mut actions);
+
+    // The first request runs on and ends at the upstream.
+    let expected = vec![(2, Reason::Withdrawn), (3, Reason::Withdrawn)];
+    assert_eq!(refusals(&actions), expected);
+}
--- a/crates/kumquat-dispatch/src/group/request.rs
+++ b/crates/kumquat-dispatch/src/group/request.rs
@@ -177,6 +177,8 @@
     match (reason, kind) {
         (From::Overload | From::Deadline, _) => Reason::Deadline,
         (From::QueueFull, _) => Reason::QueueFull,
+        // The entry may not know yet that the data centre is out; it must not count this against the other groups.
+        (From::Withdrawn, _) => Reason::Draining,
         (From::Stopping, _) => Reason::NotActing,
         // The owner of a key is the only one that can answer; the entry waits for its successor.
         (From::NoUpstream | From::Shed | From::NotConnected, Kind::Keyed) => Reason::NoOwner,
