--- /dev/null
+++ b/crates/kumquat-coordination/src/fleet.rs
@@ -0,0 +1,21 @@
+//! The `fleet` module provides the decisions of VMs that all send to the same upstreams without a dispatching VM between.
+//!
+//! Each VM decides for its own requests from what its peers report. What must hold across VMs (one owner of a key, a
+//! team's rate, a cold upstream's limit) rests on the store's conditional writes and on shares that add up to the whole,
+//! never on a report having arrived. See `docs/platform.md`.
+
+mod bucket;
+mod budget;
+mod ownership;
+mod rate;
+mod split;
+mod table;
+mod waiting;
+
+pub use bucket::Bucket;
+pub use budget::Budget;
+pub use ownership::{Action, Coordinator, Failed, Holder, Map, Member, Options, Range, Region};
+pub use rate::{Rates, Taken};
+pub use split::Split;
+pub use table::{Choice, Ended, Load, Server, Table};
+pub use waiting::{Entry, Waiting};
--- /dev/null
+++ b/crates/kumquat-coordination/src/fleet/bucket.rs
@@ -0,0 +1,72 @@
+//! The `bucket` module provides the token bucket that bounds rates.
+
+use kumquat_state::clock::Instant;
+
+/// A token bucket.
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    level: f64,
+    rate: f64,
+    burst: f64,
+    updated: Instant,
+}
+
+impl Bucket {
+    /// Creates a full bucket that gains `rate` tokens a second and holds `burst` at most.
+    #[must_use]
+    pub const fn new(now: Instant, rate: f64, burst: f64) -> Self {
+        Self {
+            level: burst,
+            rate,
+            burst,
+            updated: now,
+        }
+    }
+
+    /// Changes rate and size; tokens above the new size are lost.
+    pub fn set(&mut self, now: Instant, rate: f64, burst: f64) {
+        self.refill_to(now);
+        self.rate = rate;
+        self.burst = burst;
+        self.level = self.level.min(burst);
+    }
+
+    /// Takes a token if there is one.
+    pub fn take(&mut self, now: Instant) -> bool {
+        self.refill_to(now);
+        let is_taken = self.level >= 1.0;
+        if is_taken {
+            self.level -= 1.0;
+        }
+        is_taken
+    }
+
+    /// Takes a token even if that leaves a debt.
+    pub fn force(&mut self, now: Instant) {
+        self.refill_to(now);
+        self.level -= 1.0;
+    }
+
+    /// Returns a token that was not used.
+    pub fn put_back(&mut self) {
+        self.level = (self.level + 1.0).min(self.burst);
+    }
+
+    /// Returns the seconds until a token is there.
+    #[must_use]
+    pub fn wait(&self) -> f64 {
+        if self.level >= 1.0 {
+            0.0
+        } else if self.rate > 0.0 {
+            (1.0 - self.level) / self.rate
+        } else {
+            f64::INFINITY
+        }
+    }
+
+    pub(super) fn refill_to(&mut self, now: Instant) {
+        let passed = now.saturating_since(self.updated).as_secs_f64();
+        self.level = (self.level + passed * self.rate).min(self.burst);
+        self.updated = self.updated.max(now);
+    }
+}
--- /dev/null
+++ b/crates/kumquat-coordination/src/fleet/ownership.rs
@@ -0,0 +1,558 @@
+//! The `ownership` module provides the coordinator that decides which upstream owns which keys of a service.
+//!
+//! The map of owners lies in the store and changes only by conditional writes of the VM that holds the coordinator's
+//! lease. A region's new owner is written first, together with those that may still hold its keys. The new owner is granted
+//! the keys only when each of these has released them, is known to be dead, or its last grant has run out. Grants are sent
+//! only while the lease is valid, and a successor counts the longest possible grant from its own start, so that at no time
+//! two upstreams hold a key. See `docs/platform.md`.
+
+use std::ops::RangeInclusive;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquat_state::clock::Instant;
+
+mod plan;
+
+/// Part by which an upstream's clock may be slow when it measures a grant.
+const CLOCK_SLOWNESS: f64 = 0.02;
+
+/// Added to the end of a grant before it counts as run out: the time between a call's sending and its arrival.
+const ARRIVAL_SLACK: Duration = Duration::from_millis(400);
+
+/// Time between two sendings of the same order.
+const ORDER_RETRY: Duration = Duration::from_millis(150);
+
+/// Time after which a release is repeated; its answer waits for the work on the keys to end.
+const RELEASE_RETRY: Duration = Duration::from_millis(600);
+
+/// Unanswered grants in a row after which an owner counts as lost and its keys are given to others.
+const LOST_AFTER: u32 = 4;
+
+/// Refused connections in a row after which an upstream counts as dead.
+///
+/// An upstream with too many connections may refuse one as well, but not each over several intervals.
+const DEAD_AFTER: u32 = 3;
+
+/// Time for which an owner that did not answer is given no keys.
+const SUSPECT_FOR: Duration = Duration::from_secs(3);
+
+/// A range of keys.
+pub type Region = RangeInclusive<u16>;
+
+/// One life of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Holder {
+    /// Name of the upstream.
+    pub name: Arc<str>,
+    /// Start of this life.
+    pub born: u64,
+}
+
+/// Keys with one owner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Range {
+    /// First key.
+    pub first: u16,
+    /// Last key.
+    pub last: u16,
+    /// Owner of the keys.
+    pub owner: Holder,
+    /// Fencing token of the owner's grants.
+    pub fence: u64,
+    /// Earlier owners that may still hold the keys.
+    pub previous: Vec<Holder>,
+}
+
+impl Range {
+    /// Returns the keys.
+    #[must_use]
+    pub const fn region(&self) -> Region {
+        self.first..=self.last
+    }
+}
+
+/// The owners of all keys of a service.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Map {
+    /// Ranges in order of their keys; together they cover all keys, or there are none.
+    pub ranges: Vec<Range>,
+    /// Fencing token that the next change uses.
+    pub next_fence: u64,
+}
+
+impl Map {
+    /// Returns the range that contains a key.
+    #[must_use]
+    pub fn range(&self, key: u16) -> Option<&Range> {
+        let position = self.ranges.partition_point(|range| range.last < key);
+        self.ranges.get(position)
+    }
+
+    /// Returns whether the ranges are in order and cover all keys without overlap.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        let mut next = 0_u32;
+        for range in &self.ranges {
+            if u32::from(range.first) != next || range.last < range.first {
+                return false;
+            }
+            if range.fence >= self.next_fence {
+                return false;
+            }
+            next = u32::from(range.last) + 1;
+        }
+        self.ranges.is_empty() || next == u32::from(u16::MAX) + 1
+    }
+}
+
+/// An upstream that may own keys.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// The life of the upstream.
+    pub holder: Holder,
+    /// Whether it may be given keys and keep them.
+    pub may_own: bool,
+    /// Whether it is warm, so that it can be given keys without need.
+    pub is_warm: bool,
+    /// What it can run, relative to the others.
+    pub capacity: f64,
+}
+
+/// Timing of the coordinator.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// How long a grant holds in ordinary times.
+    pub hold: Duration,
+    /// How long a grant holds that has to outlast an outage of the store.
+    pub longest_hold: Duration,
+    /// Time after which a grant is renewed.
+    pub renewal: Duration,
+    /// Time between two looks at the balance.
+    pub balance: Duration,
+}
+
+/// What the driver has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Write the map to the store, if the last known one is still there.
+    Commit(Map),
+    /// Grant keys.
+    Grant {
+        /// Who gets them.
+        holder: Holder,
+        /// The keys.
+        region: Region,
+        /// Fencing token.
+        fence: u64,
+        /// How long they are held.
+        hold: Duration,
+        /// State that the last holder left behind.
+        handover: Option<String>,
+    },
+    /// Take keys back.
+    Release {
+        /// Who holds them.
+        holder: Holder,
+        /// The keys.
+        region: Region,
+        /// Fencing token of the next owner.
+        fence: u64,
+    },
+}
+
+/// Why an order failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failed {
+    /// The address refuses connections, as after a crash, or for a moment while it has too many.
+    Refused,
+    /// Another process has the address: the holder is dead.
+    Dead,
+    /// No answer; the order may take effect later.
+    Silent,
+    /// The holder has seen a higher fencing token.
+    Outdated,
+}
+
+#[derive(Clone, Debug)]
+struct Grant {
+    fence: u64,
+    region: Region,
+    renewed: Option<Instant>,
+    sent: Option<Instant>,
+    handover: Option<String>,
+    hold: Duration,
+    failures: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Recall {
+    holder: Holder,
+    region: Region,
+    fence: u64,
+    sent: Option<Instant>,
+    is_done: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    holder: Holder,
+    // Until when a grant may hold that was sent to it.
+    until: Instant,
+    // Until when a grant may hold that got no answer and may take effect late.
+    unanswered_until: Instant,
+    suspect_until: Instant,
+    // Grants on their way.
+    pending: u32,
+    // Refused connections in a row.
+    refusals: u32,
+    is_dead: bool,
+}
+
+/// The coordinator of one service, while this VM holds the lease.
+#[derive(Clone, Debug)]
+pub struct Coordinator {
+    options: Options,
+    started: Instant,
+    map: Map,
+    committing: Option<Map>,
+    grants: Vec<Grant>,
+    recalls: Vec<Recall>,
+    held: Vec<Held>,
+    members: Vec<Member>,
+    heat: Vec<f32>,
+    cooled: Instant,
+    balanced: Instant,
+    is_extending: bool,
+    // Since when owners have their grants although the map still names earlier ones.
+    unsettled: Option<Instant>,
+}
+
+/// Interval at which the measured load of the keys fades.
+const COOL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Part of the measured load that is left after each interval.
+const COOL_FACTOR: f32 = 0.7;
+
+impl Coordinator {
+    /// Starts with the map that the store holds.
+    #[must_use]
+    pub fn new(now: Instant, options: Options, map: Map) -> Self {
+        Self {
+            options,
+            started: now,
+            map,
+            committing: None,
+            grants: Vec::new(),
+            recalls: Vec::new(),
+            held: Vec::new(),
+            members: Vec::new(),
+            heat: vec![0.0; usize::from(u16::MAX) + 1],
+            cooled: now,
+            balanced: now,
+            is_extending: false,
+            unsettled: None,
+        }
+    }
+
+    /// Returns the map as last written.
+    #[must_use]
+    pub const fn map(&self) -> &Map {
+        &self.map
+    }
+
+    /// Sets the upstreams of the service.
+    pub fn set_members(&mut self, mut members: Vec<Member>) {
+        members.sort_by(|a, b| a.holder.cmp(&b.holder));
+        self.members = members;
+    }
+
+    /// Sets whether the store can't be reached, so that grants have to last for as long as they may.
+    pub const fn set_extending(&mut self, is_extending: bool) {
+        self.is_extending = is_extending;
+    }
+
+    /// Counts requests by key.
+    pub fn count(&mut self, keys: &[u16]) {
+        for key in keys {
+            self.heat[usize::from(*key)] += 1.0;
+        }
+    }
+
+    /// Reports that a map was written.
+    pub fn committed(&mut self, map: &Map) {
+        if self.committing.as_ref() == Some(map) {
+            self.committing = None;
+        }
+        self.observed(map);
+    }
+
+    /// Reports that the map could not be written, or that it is not known whether it was.
+    pub fn not_committed(&mut self) {
+        self.committing = None;
+    }
+
+    /// Takes over a map that the store holds, if it is newer than the known one.
+    pub fn observed(&mut self, map: &Map) {
+        // Each change uses up tokens, but for one that only drops earlier owners.
+        let is_newer = map.next_fence > self.map.next_fence;
+        let is_settled = map.next_fence == self.map.next_fence
+            && held_by_earlier(map) < held_by_earlier(&self.map);
+        if is_newer || is_settled {
+            self.map = map.clone();
+        }
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
+        while now.saturating_since(self.cooled) >= COOL_INTERVAL {
+            self.cooled = self.cooled + COOL_INTERVAL;
+            self.heat.iter_mut().for_each(|heat| *heat *= COOL_FACTOR);
+        }
+        if self.committing.is_none()
+            && let Some(map) = self.next_map(now)
+        {
+            self.committing = Some(map.clone());
+            out.push(Action::Commit(map));
+        }
+        self.order(now, out);
+    }
+
+    /// Reports that a holder took a grant.
+    pub fn granted(&mut self, now: Instant, holder: &Holder, fence: u64) {
+        if let Some(grant) = self.grants.iter_mut().find(|grant| grant.fence == fence) {
+            grant.renewed = grant.sent.or(grant.renewed);
+            grant.sent = None;
+            grant.handover = None;
+            grant.failures = 0;
+        }
+        let held = self.held(now, holder);
+        held.suspect_until = Instant::ORIGIN;
+        held.pending = held.pending.saturating_sub(1);
+        held.refusals = 0;
+    }
+
+    /// Reports that a grant failed.
+    pub fn not_granted(&mut self, now: Instant, holder: &Holder, fence: u64, failed: Failed) {
+        let mut is_lost = false;
+        if let Some(grant) = self.grants.iter_mut().find(|grant| grant.fence == fence) {
+            grant.failures += 1;
+            is_lost = grant.failures >= LOST_AFTER;
+        }
+        self.note_failure(now, holder, failed);
+        let held = self.held(now, holder);
+        held.pending = held.pending.saturating_sub(1);
+        if failed == Failed::Silent {
+            held.unanswered_until = held.until;
+        }
+        if is_lost || failed == Failed::Outdated {
+            held.suspect_until = now + SUSPECT_FOR;
+        }
+    }
+
+    fn note_failure(&mut self, now: Instant, holder: &Holder, failed: Failed) {
+        let held = self.held(now, holder);
+        match failed {
+            Failed::Dead => held.is_dead = true,
+            Failed::Refused => {
+                held.refusals += 1;
+                held.is_dead |= held.refusals >= DEAD_AFTER;
+            }
+            Failed::Silent | Failed::Outdated => held.refusals = 0,
+        }
+    }
+
+    /// Returns the fencing tokens of ranges whose new owner has its grant although the written map does not say so yet.
+    #[must_use]
+    pub fn settled(&self) -> Vec<u64> {
+        let moving = self
+            .map
+            .ranges
+            .iter()
+            .filter(|range| !range.previous.is_empty());
+        let fences = moving.map(|range| range.fence);
+        fences.filter(|fence| self.is_granted(*fence)).collect()
+    }
+
+    fn is_granted(&self, fence: u64) -> bool {
+        let grants = self.grants.iter();
+        let mut found = grants.filter(|grant| grant.fence == fence);
+        found.any(|grant| grant.renewed.is_some())
+    }
+
+    /// Reports that a holder gave keys back.
+    pub fn released(&mut self, region: &Region, fence: u64, handover: Option<String>) {
+        for recall in &mut self.recalls {
+            if recall.fence == fence && recall.region == *region {
+                recall.is_done = true;
+            }
+        }
+        let next = self.grants.iter_mut().find(|grant| grant.fence == fence);
+        if let Some(grant) = next
+            && handover.is_some()
+            && grant.region == *region
+        {
+            grant.handover = handover;
+        }
+    }
+
+    /// Reports that keys could not be taken back.
+    pub fn not_released(&mut self, now: Instant, holder: &Holder, failed: Failed) {
+        self.note_failure(now, holder, failed);
+    }
+
+    /// Returns whether a holder can't hold keys any more, whatever reached it.
+    fn is_free(&mut self, now: Instant, holder: &Holder) -> bool {
+        // A later life of the upstream at the same name holds nothing of before.
+        let is_reborn = self
+            .members
+            .iter()
+            .any(|member| member.holder.name == holder.name && member.holder.born > holder.born);
+        let held = self.held(now, holder);
+        is_reborn || held.is_dead || held.until < now
+    }
+
+    fn held(&mut self, _now: Instant, holder: &Holder) -> &mut Held {
+        let position = match self.held.binary_search_by(|held| held.holder.cmp(holder)) {
+            Ok(position) => position,
+            Err(position) => {
+                // An earlier coordinator may have granted up to the moment at which this one started.
+                let until = self.started + lengthened(self.options.longest_hold);
+                let held = Held {
+                    holder: holder.clone(),
+                    until,
+                    unanswered_until: Instant::ORIGIN,
+                    suspect_until: Instant::ORIGIN,
+                    pending: 0,
+                    refusals: 0,
+                    is_dead: false,
+                };
+                self.held.insert(position, held);
+                position
+            }
+        };
+        &mut self.held[position]
+    }
+
+    /// Sends the orders that follow from the written map.
+    fn order(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let ranges = self.map.ranges.clone();
+        self.grants.retain(|grant| {
+            let is_current = |range: &Range| range.fence == grant.fence;
+            ranges.iter().any(is_current)
+        });
+        self.recalls.retain(|recall| {
+            let is_current = |range: &Range| {
+                range.fence == recall.fence && range.previous.contains(&recall.holder)
+            };
+            ranges.iter().any(is_current)
+        });
+        for range in &ranges {
+            if self.recall(now, range, out) {
+                self.grant(now, range, out);
+            }
+        }
+    }
+
+    /// Takes a range back from earlier owners; returns whether none of them holds it any more.
+    fn recall(&mut self, now: Instant, range: &Range, out: &mut Vec<Action>) -> bool {
+        let mut is_free = true;
+        for holder in &range.previous {
+            if *holder == range.owner || self.is_free(now, holder) {
+                continue;
+            }
+            let held = self.held(now, holder);
+            let (unanswered, pending) = (held.unanswered_until, held.pending);
+            let found = self
+                .recalls
+                .iter()
+                .position(|recall| recall.fence == range.fence && recall.holder == *holder);
+            let position = found.unwrap_or_else(|| {
+                self.recalls.push(Recall {
+                    holder: holder.clone(),
+                    region: range.region(),
+                    fence: range.fence,
+                    sent: None,
+                    is_done: false,
+                });
+                self.recalls.len() - 1
+            });
+            let recall = &mut self.recalls[position];
+            if recall.is_done {
+                // A grant without an answer may take effect after the release.
+                is_free &= unanswered < now;
+                continue;
+            }
+            is_free = false;
+            let is_due = recall
+                .sent
+                .is_none_or(|sent| now.saturating_since(sent) >= RELEASE_RETRY);
+            // A grant that is on its way could overtake the release.
+            if is_due && pending == 0 {
+                recall.sent = Some(now);
+                out.push(Action::Release {
+                    holder: holder.clone(),
+                    region: recall.region.clone(),
+                    fence: range.fence,
+                });
+            }
+        }
+        is_free
+    }
+
+    fn grant(&mut self, now: Instant, range: &Range, out: &mut Vec<Action>) {
+        let hold = if self.is_extending {
+            self.options.longest_hold
+        } else {
+            self.options.hold
+        };
+        let found = self
+            .grants
+            .iter()
+            .position(|grant| grant.fence == range.fence);
+        let position = found.unwrap_or_else(|| {
+            self.grants.push(Grant {
+                fence: range.fence,
+                region: range.region(),
+                renewed: None,
+                sent: None,
+                handover: None,
+                hold,
+                failures: 0,
+            });
+            self.grants.len() - 1
+        });
+        let grant = &mut self.grants[position];
+        let is_answered = grant
+            .sent
+            .is_none_or(|sent| now.saturating_since(sent) >= ORDER_RETRY);
+        let is_due = grant.renewed.is_none_or(|renewed| {
+            let is_short = hold > grant.hold;
+            is_short || now.saturating_since(renewed) >= self.options.renewal
+        });
+        if !is_answered || !is_due {
+            return;
+        }
+        grant.sent = Some(now);
+        grant.hold = hold;
+        let handover = grant.handover.clone();
+        let owner = self.held(now, &range.owner);
+        owner.until = owner.until.max(now + lengthened(hold));
+        owner.pending += 1;
+        out.push(Action::Grant {
+            holder: range.owner.clone(),
+            region: range.region(),
+            fence: range.fence,
+            hold,
+            handover,
+        });
+    }
+}
+
+fn lengthened(hold: Duration) -> Duration {
+    hold.mul_f64(1.0 + CLOCK_SLOWNESS) + ARRIVAL_SLACK
+}
+
+fn held_by_earlier(map: &Map) -> usize {
+    map.ranges.iter().map(|range| range.previous.len()).sum()
+}
--- /dev/null
+++ b/crates/kumquat-coordination/src/fleet/table.rs
@@ -0,0 +1,500 @@
+//! The `table` module provides the choice of the upstream for a request, from what this VM and its peers have under way.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquat_state::clock::Instant;
+
+use super::Bucket;
+
+/// Age at which a peer's report of its running requests no longer counts; a peer reports several times a second.
+const REPORT_LIFE: Duration = Duration::from_secs(1);
+
+/// Age at which an upstream's own figures no longer count; they change many times a second.
+const LOAD_LIFE: Duration = Duration::from_millis(150);
+
+/// Requests that may wait at an upstream beyond its slots, so that a slot is not idle while an answer travels.
+const QUEUED_AT_UPSTREAM: u32 = 2;
+
+/// Weight of a new latency in the mean.
+const LATENCY_WEIGHT: f64 = 0.2;
+
+/// Half-life of what is known of an upstream that gets no requests, after which it is tried again.
+const MEMORY_S: f64 = 2.0;
+
+/// Weight of a new result in the rate of failures.
+const FAILURE_WEIGHT: f64 = 0.2;
+
+/// How many times as slow an upstream counts that fails all its requests.
+const FAILURE_COST: f64 = 6.0;
+
+/// How much slower an upstream in another data centre counts; traffic between data centres is paid for.
+const DISTANCE_COST: f64 = 0.1;
+
+/// Largest part by which costs are varied at random, so that VMs with the same view do not all choose the same upstream.
+const NOISE: f64 = 0.1;
+
+/// Weight of a new latency in the lasting speed of an upstream.
+const SPEED_WEIGHT: f64 = 0.02;
+
+/// First time for which an upstream that takes no connections is avoided; it doubles up to the last.
+const AVOID_FIRST: Duration = Duration::from_millis(300);
+const AVOID_LAST: Duration = Duration::from_secs(2);
+
+/// Part of the limit of a cold upstream that is held in its buckets, in requests over all VMs.
+const COLD_BURST: f64 = 3.0;
+
+/// An upstream as the registry describes it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Server {
+    /// Name under which it registered.
+    pub name: Arc<str>,
+    /// Start of this life of the upstream; the same name with another start knows nothing of before.
+    pub born: u64,
+    /// Service that it answers.
+    pub service: Arc<str>,
+    /// Data centre in which it runs.
+    pub data_centre: Arc<str>,
+    /// Address of its HTTP endpoint.
+    pub address: SocketAddr,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is about to stop.
+    pub is_draining: bool,
+    /// Time for which it stays cold.
+    pub cold_for: Duration,
+}
+
+/// What an upstream says about itself in an answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Slots.
+    pub slots: u32,
+    /// How long work takes at this moment, relative to the usual.
+    pub pace: f64,
+}
+
+/// How a request at an upstream ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ended {
+    /// An answer came; its latency is relative to what the route's requests usually take.
+    Answered {
+        /// Latency relative to the route's mean.
+        relative: f64,
+    },
+    /// The upstream had no room.
+    Shed,
+    /// No connection was established.
+    Unreachable,
+    /// The answer was broken, missing or a failure.
+    Failed {
+        /// Time that it took relative to the route's mean, if it ended by the passing of time.
+        relative: Option<f64>,
+    },
+    /// The caller left, which says nothing about the upstream.
+    Abandoned,
+}
+
+/// What the table says about a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Choice {
+    /// Send it to this upstream.
+    Send(Server),
+    /// All upstreams that could run it are busy.
+    Busy,
+    /// No upstream can run it.
+    Nowhere,
+}
+
+#[derive(Clone, Debug)]
+struct Row {
+    server: Server,
+    id: u32,
+    own: u32,
+    latency: f64,
+    latency_at: Instant,
+    // Mean latency relative to others without the passing slowness that the upstream reports.
+    slowness: f64,
+    failures: f64,
+    failures_at: Instant,
+    load: Option<(Load, Instant)>,
+    avoided_until: Instant,
+    avoid_next: Duration,
+    cold_until: Instant,
+    cold: Bucket,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    id: u64,
+    at: Instant,
+    // Requests under way by upstream, sorted by its id.
+    running: Vec<(u32, u32)>,
+}
+
+/// The upstreams, sorted by name.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    rows: Vec<Row>,
+    peers: Vec<Peer>,
+    closed: Vec<Arc<str>>,
+    home: Option<Arc<str>>,
+    vms: u32,
+}
+
+impl Table {
+    /// Sets the data centre of this VM, whose upstreams are preferred to equal ones elsewhere.
+    pub fn set_home(&mut self, home: &str) {
+        self.home = Some(Arc::from(home));
+    }
+
+    /// Sets the number of VMs that share the upstreams.
+    pub fn set_vms(&mut self, vms: usize) {
+        self.vms = u32::try_from(vms.max(1)).unwrap_or(u32::MAX);
+    }
+
+    /// Sets the data centres that get nothing, sorted, and turns upstreams of reopened ones cold for `cold_for`.
+    pub fn set_closed(&mut self, now: Instant, closed: &[Arc<str>], cold_for: Duration) {
+        for row in &mut self.rows {
+            let centre = &row.server.data_centre;
+            if self.closed.binary_search(centre).is_ok() && closed.binary_search(centre).is_err() {
+                row.cold_until = row.cold_until.max(now + cold_for);
+            }
+        }
+        self.closed = closed.to_vec();
+    }
+
+    /// Returns the data centres that get nothing.
+    #[must_use]
+    pub fn closed(&self) -> &[Arc<str>] {
+        &self.closed
+    }
+
+    /// Adds an upstream, or takes over what changed of it. `cold_rate` is what it bears while cold, over all VMs.
+    pub fn upsert(&mut self, now: Instant, server: Server, cold_rate: f64) {
+        let cold_until = now + server.cold_for;
+        match self.position(&server.name) {
+            Ok(position) => {
+                let is_reborn = self.rows[position].server.born != server.born;
+                if is_reborn {
+                    let id = row_id(&server);
+                    self.rows[position] = Row::new(now, server, id, cold_rate, self.vms);
+                } else {
+                    let row = &mut self.rows[position];
+                    row.server = server;
+                    if row.cold_until <= now {
+                        row.cold = cold_bucket(now, cold_rate, self.vms);
+                    }
+                }
+                let row = &mut self.rows[position];
+                row.cold_until = row.cold_until.max(cold_until);
+            }
+            Err(position) => {
+                let id = row_id(&server);
+                let mut row = Row::new(now, server, id, cold_rate, self.vms);
+                row.cold_until = cold_until;
+                self.rows.insert(position, row);
+            }
+        }
+    }
+
+    /// Removes an upstream.
+    pub fn remove(&mut self, name: &str) {
+        if let Ok(position) = self.position(name) {
+            self.rows.remove(position);
+        }
+    }
+
+    /// Returns all upstreams.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.rows.iter().map(|row| &row.server)
+    }
+
+    /// Returns whether requests may be sent to an upstream at all.
+    #[must_use]
+    pub fn is_open(&self, server: &Server) -> bool {
+        !server.is_draining && self.closed.binary_search(&server.data_centre).is_err()
+    }
+
+    /// Returns the time until which an upstream is cold.
+    #[must_use]
+    pub fn cold_until(&self, name: &str) -> Instant {
+        self.position(name)
+            .map_or(Instant::ORIGIN, |position| self.rows[position].cold_until)
+    }
+
+    /// Returns how slow an upstream is in the long run, relative to the others.
+    #[must_use]
+    pub fn slowness(&self, name: &str) -> f64 {
+        self.position(name)
+            .map_or(1.0, |position| self.rows[position].slowness)
+    }
+
+    /// Takes the latency that a request had at an upstream, relative to others, here or at another VM.
+    pub fn observe(&mut self, id: u32, relative: f64) {
+        if let Some(row) = self.rows.iter_mut().find(|row| row.id == id) {
+            row.slowness += SPEED_WEIGHT * (relative.clamp(0.3, 3.0) - row.slowness);
+        }
+    }
+
+    /// Returns the short id of an upstream that reports carry.
+    #[must_use]
+    pub fn id(&self, name: &str) -> Option<u32> {
+        let position = self.position(name).ok()?;
+        Some(self.rows[position].id)
+    }
+
+    /// Returns the requests under way at an upstream, as far as this VM knows.
+    #[must_use]
+    pub fn busy_at(&self, now: Instant, name: &str) -> u32 {
+        self.position(name)
+            .map_or(0, |position| self.busy(now, position))
+    }
+
+    /// Returns the slots of the upstreams of a service that take requests.
+    #[must_use]
+    pub fn slots(&self, service: &str) -> u32 {
+        let open = self
+            .rows
+            .iter()
+            .filter(|row| &*row.server.service == service && self.is_open(&row.server));
+        open.map(|row| row.server.slots).sum()
+    }
+
+    /// Takes a peer's report of the requests that it has under way.
+    pub fn report(&mut self, now: Instant, peer: u64, running: &[(u32, u32)]) {
+        let mut running = running.to_vec();
+        running.sort_unstable();
+        let peer = Peer {
+            id: peer,
+            at: now,
+            running,
+        };
+        match self.peers.binary_search_by_key(&peer.id, |other| other.id) {
+            Ok(position) => self.peers[position] = peer,
+            Err(position) => self.peers.insert(position, peer),
+        }
+    }
+
+    /// Returns the requests under way, for the report to the peers.
+    #[must_use]
+    pub fn running(&self) -> Vec<(u32, u32)> {
+        let busy = self.rows.iter().filter(|row| row.own > 0);
+        busy.map(|row| (row.id, row.own)).collect()
+    }
+
+    /// Chooses the upstream that is expected to answer soonest; `noise` is a random number from 0 to 1 that keeps VMs
+    /// with the same view apart, `tried` are the upstreams that the request has been sent to.
+    pub fn choose(
+        &mut self,
+        now: Instant,
+        service: &str,
+        tried: &[Arc<str>],
+        noise: impl Fn() -> f64,
+    ) -> Choice {
+        self.expire(now);
+        let mut best: Option<(f64, usize)> = None;
+        let mut is_possible = false;
+        for index in 0..self.rows.len() {
+            let row = &self.rows[index];
+            if &*row.server.service != service || !self.is_open(&row.server) {
+                continue;
+            }
+            if tried.contains(&row.server.name) {
+                continue;
+            }
+            is_possible = true;
+            let busy = self.busy(now, index);
+            let is_home = self.home.as_ref() == Some(&row.server.data_centre);
+            let row = &mut self.rows[index];
+            if busy >= row.server.slots + QUEUED_AT_UPSTREAM || row.avoided_until > now {
+                continue;
+            }
+            if row.is_cold(now) && row.cold.wait_at(now) > 0.0 {
+                continue;
+            }
+            let distance = if is_home { 0.0 } else { DISTANCE_COST };
+            let cost = row.cost(now, busy) * (1.0 + distance + NOISE * noise());
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, index));
+            }
+        }
+        match best {
+            Some((_, index)) => self.take(now, index),
+            None if is_possible => Choice::Busy,
+            None => Choice::Nowhere,
+        }
+    }
+
+    /// Sends a request to the one upstream that may run it, if it has room.
+    pub fn choose_owner(&mut self, now: Instant, name: &str, born: u64) -> Choice {
+        self.expire(now);
+        let Ok(index) = self.position(name) else {
+            return Choice::Nowhere;
+        };
+        let row = &self.rows[index];
+        if row.server.born != born || !self.is_open(&row.server) {
+            return Choice::Nowhere;
+        }
+        let busy = self.busy(now, index);
+        let row = &mut self.rows[index];
+        let is_full = busy >= row.server.slots + QUEUED_AT_UPSTREAM;
+        if is_full || row.avoided_until > now || (row.is_cold(now) && row.cold.wait_at(now) > 0.0) {
+            return Choice::Busy;
+        }
+        self.take(now, index)
+    }
+
+    /// Notes how a request ended that was sent to an upstream.
+    pub fn ended(&mut self, now: Instant, name: &str, born: u64, ended: Ended, load: Option<Load>) {
+        let Ok(index) = self.position(name) else {
+            return;
+        };
+        let row = &mut self.rows[index];
+        if row.server.born != born {
+            return;
+        }
+        row.own = row.own.saturating_sub(1);
+        if let Some(load) = load {
+            row.load = Some((load, now));
+        }
+        row.note(now, ended);
+    }
+
+    fn take(&mut self, now: Instant, index: usize) -> Choice {
+        let row = &mut self.rows[index];
+        if row.is_cold(now) {
+            row.cold.force(now);
+        }
+        row.own += 1;
+        Choice::Send(row.server.clone())
+    }
+
+    fn busy(&self, now: Instant, index: usize) -> u32 {
+        let row = &self.rows[index];
+        let remote: u32 = self
+            .peers
+            .iter()
+            .filter_map(|peer| {
+                let found = peer.running.binary_search_by_key(&row.id, |entry| entry.0);
+                found.ok().map(|position| peer.running[position].1)
+            })
+            .sum();
+        let known = row.own + remote;
+        // The upstream's own count also holds what VMs have sent whose reports are missing.
+        match row.load {
+            Some((load, at)) if now.saturating_since(at) < LOAD_LIFE => {
+                known.max((load.running + load.waiting).saturating_sub(1))
+            }
+            _ => known,
+        }
+    }
+
+    fn expire(&mut self, now: Instant) {
+        self.peers
+            .retain(|peer| now.saturating_since(peer.at) < REPORT_LIFE);
+    }
+
+    fn position(&self, name: &str) -> Result<usize, usize> {
+        self.rows
+            .binary_search_by(|row| (*row.server.name).cmp(name))
+    }
+}
+
+impl Row {
+    fn new(now: Instant, server: Server, id: u32, cold_rate: f64, vms: u32) -> Self {
+        Self {
+            server,
+            id,
+            own: 0,
+            latency: 1.0,
+            latency_at: now,
+            slowness: 1.0,
+            failures: 0.0,
+            failures_at: now,
+            load: None,
+            avoided_until: Instant::ORIGIN,
+            avoid_next: AVOID_FIRST,
+            cold_until: Instant::ORIGIN,
+            cold: cold_bucket(now, cold_rate, vms),
+        }
+    }
+
+    fn is_cold(&self, now: Instant) -> bool {
+        now < self.cold_until
+    }
+
+    /// Returns the expected time to an answer, relative to the route's mean.
+    fn cost(&self, now: Instant, busy: u32) -> f64 {
+        let slots = f64::from(self.server.slots.max(1));
+        let queued = f64::from((busy + 1).saturating_sub(self.server.slots));
+        let pace = match self.load {
+            Some((load, at)) if now.saturating_since(at) < LOAD_LIFE => load.pace.max(0.1),
+            _ => 1.0,
+        };
+        let cold = if self.is_cold(now) { 2.0 } else { 1.0 };
+        let latency = 1.0 + (self.latency - 1.0) * fading(now, self.latency_at);
+        let failures = self.failures * fading(now, self.failures_at);
+        // A free slot beside a busy one still shares the machine.
+        let crowding = 1.0 + 0.1 * f64::from(busy) / slots;
+        latency * pace * cold * crowding * (1.0 + queued / slots) * (1.0 + FAILURE_COST * failures)
+    }
+
+    fn note(&mut self, now: Instant, ended: Ended) {
+        let failed = match ended {
+            Ended::Answered { .. } => 0.0,
+            Ended::Shed | Ended::Unreachable | Ended::Failed { .. } => 1.0,
+            Ended::Abandoned => return,
+        };
+        let failures = self.failures * fading(now, self.failures_at);
+        self.failures = failures + FAILURE_WEIGHT * (failed - failures);
+        self.failures_at = now;
+        match ended {
+            Ended::Answered { relative }
+            | Ended::Failed {
+                relative: Some(relative),
+            } => {
+                let latency = 1.0 + (self.latency - 1.0) * fading(now, self.latency_at);
+                // Queueing and noise are no property of the upstream, so that one long answer must not rule it out.
+                let relative = relative.clamp(0.2, 8.0);
+                self.latency = latency + LATENCY_WEIGHT * (relative - latency);
+                self.latency_at = now;
+                self.avoid_next = AVOID_FIRST;
+            }
+            Ended::Unreachable => {
+                self.avoided_until = now + self.avoid_next;
+                self.avoid_next = (self.avoid_next * 2).min(AVOID_LAST);
+            }
+            Ended::Shed | Ended::Failed { relative: None } | Ended::Abandoned => {}
+        }
+    }
+}
+
+impl Bucket {
+    fn wait_at(&mut self, now: Instant) -> f64 {
+        self.refill_to(now);
+        self.wait()
+    }
+}
+
+fn fading(now: Instant, since: Instant) -> f64 {
+    let age = now.saturating_since(since).as_secs_f64();
+    (-(age / MEMORY_S) * std::f64::consts::LN_2).exp()
+}
+
+fn cold_bucket(now: Instant, rate: f64, vms: u32) -> Bucket {
+    let vms = f64::from(vms.max(1));
+    Bucket::new(now, rate / vms, (COLD_BURST / vms).max(1.0))
+}
+
+/// Returns the short id of an upstream's life that reports carry.
+fn row_id(server: &Server) -> u32 {
+    let text = format!("{}/{}", server.name, server.born);
+    let hash = kumquat_state::hash::key(text.as_bytes());
+    u32::try_from(hash >> 32).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/kumquat-coordination/src/fleet/waiting.rs
@@ -0,0 +1,69 @@
+//! The `waiting` module provides the requests of a VM that wait for room at an upstream.
+//!
+//! Waiting happens here rather than in the upstreams' queues, because only here the order can still change and a request
+//! can still be refused as not run.
+
+use std::sync::Arc;
+
+use kumquat_state::clock::Instant;
+
+/// A waiting request.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Identifies the request.
+    pub id: u64,
+    /// Service that it waits for.
+    pub service: Arc<str>,
+    /// Rank; lower ranks go first.
+    pub rank: u32,
+    /// Last time at which it is worth sending.
+    pub latest: Instant,
+}
+
+/// Waiting requests in the order in which they are sent.
+#[derive(Clone, Debug, Default)]
+pub struct Waiting {
+    entries: Vec<Entry>,
+}
+
+impl Waiting {
+    /// Adds a request behind those of its rank.
+    pub fn push(&mut self, entry: Entry) {
+        let position = self
+            .entries
+            .partition_point(|other| other.rank <= entry.rank);
+        self.entries.insert(position, entry);
+    }
+
+    /// Removes a request.
+    pub fn remove(&mut self, id: u64) {
+        self.entries.retain(|entry| entry.id != id);
+    }
+
+    /// Returns the requests for a service in order.
+    pub fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Entry> {
+        let is_for = move |entry: &&Entry| &*entry.service == service;
+        self.entries.iter().filter(is_for)
+    }
+
+    /// Returns all requests in order.
+    #[must_use]
+    pub fn entries(&self) -> &[Entry] {
+        &self.entries
+    }
+
+    /// Returns the number of requests that would go before one of this rank.
+    #[must_use]
+    pub fn ahead(&self, service: &str, rank: u32) -> usize {
+        self.of(service).filter(|entry| entry.rank <= rank).count()
+    }
+
+    /// Removes and returns the requests that are no longer worth sending.
+    pub fn expire(&mut self, now: Instant) -> Vec<Entry> {
+        let (expired, kept) = std::mem::take(&mut self.entries)
+            .into_iter()
+            .partition(|entry| entry.latest < now);
+        self.entries = kept;
+        expired
+    }
+}
--- a/crates/kumquat-coordination/src/lib.rs
+++ b/crates/kumquat-coordination/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod balance;
 pub mod coordinator;
 pub mod dispatch;
+pub mod fleet;
 pub mod grant;
 pub mod hotkey;
 pub mod limit;
--- a/crates/kumquat-daemon/src/lib.rs
+++ b/crates/kumquat-daemon/src/lib.rs
@@ -84,7 +84,7 @@
     Ok(Trust::new(keys, settings.signers.threshold)?)
 }
 
-/// Creates the log: one JSON object per line on standard error.
+/// Creates the log of a daemon on standard error.
 ///
 /// Dropping the returned guard flushes the log.
 fn log(settings: &Settings, program: &'static str) -> (Logger, slog_async::AsyncGuard) {
@@ -96,13 +96,35 @@
         Level::Debug => slog::Level::Debug,
         Level::Trace => slog::Level::Trace,
     };
-    let json = slog_json::Json::default(std::io::stderr()).fuse();
+    let vm = settings.vm.name.as_str();
+    let data_centre = settings.vm.data_centre.as_str();
+    open_log(
+        std::io::stderr(),
+        LOG_QUEUE,
+        level,
+        program,
+        vm,
+        data_centre,
+    )
+}
+
+/// Creates a log that writes one JSON object per line to `output`, with at most `queue` lines waiting for it.
+///
+/// Dropping the returned guard flushes the log.
+pub fn open_log(
+    output: impl std::io::Write + Send + 'static,
+    queue: usize,
+    level: slog::Level,
+    program: &'static str,
+    vm: &str,
+    data_centre: &str,
+) -> (Logger, slog_async::AsyncGuard) {
+    let json = slog_json::Json::default(output).fuse();
     let (drain, guard) = slog_async::Async::new(json)
-        .chan_size(LOG_QUEUE)
+        .chan_size(queue)
         .build_with_guard();
     let drain = drain.filter_level(level).fuse();
-    let vm = settings.vm.name.to_string();
-    let data_centre = settings.vm.data_centre.to_string();
+    let (vm, data_centre) = (vm.to_owned(), data_centre.to_owned());
     let log = Logger::root(
         drain,
         o!("program" => program, "vm" => vm, "data_centre" => data_centre),
--- /dev/null
+++ b/crates/kumquat-router/src/config.rs
@@ -0,0 +1,158 @@
+//! The `config` module provides the desired state as one VM applies it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The desired state: all lists are sorted for binary search.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Config {
+    /// Version; a VM never goes back to a lower one.
+    pub version: u64,
+    /// Routes, sorted by host and prefix.
+    pub routes: Vec<Route>,
+    /// Services, sorted by name.
+    pub services: Vec<Service>,
+    /// Teams, sorted by name.
+    pub teams: Vec<Team>,
+    /// Caller keys with the position of their team, sorted by key.
+    pub keys: Vec<(String, usize)>,
+    /// Limits for callers.
+    pub limits: Limits,
+}
+
+/// What requests of one host and path prefix are.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name of the route.
+    pub name: String,
+    /// Host, in lower case.
+    pub host: String,
+    /// Path prefix that begins and ends with a slash.
+    pub prefix: String,
+    /// Services that answer, with the weights of their parts.
+    pub parts: Vec<Part>,
+    /// Whether a request may run more than once.
+    pub is_idempotent: bool,
+    /// Longest time for which a caller waits.
+    pub timeout: Duration,
+    /// Time within which an answer has its full worth.
+    pub aim: Duration,
+    /// Rank, the lowest first.
+    pub rank: u32,
+    /// Upstreams that one request may be sent to.
+    pub max_attempts: u32,
+    /// Whether requests need no caller key.
+    pub is_open: bool,
+}
+
+/// A service that answers part of a route's requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Part {
+    /// Name of the service.
+    pub service: Arc<str>,
+    /// Weight of the part.
+    pub weight: u32,
+}
+
+/// A service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Name of the service.
+    pub name: Arc<str>,
+    /// Whether each key has one owning upstream.
+    pub is_keyed: bool,
+    /// Connections that an upstream accepts from all VMs.
+    pub connections: u32,
+    /// Time for which an upstream is cold after a start.
+    pub cold_for: Duration,
+    /// Requests a second that a cold upstream bears, from all VMs.
+    pub cold_rate: f64,
+}
+
+/// A team.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Team {
+    /// Name of the team.
+    pub name: String,
+    /// Rank that replaces the route's, if the team has one.
+    pub rank: Option<u32>,
+    /// Requests a second over all VMs; zero means no limit.
+    pub rate: f64,
+    /// Requests that may come at once over all VMs.
+    pub burst: f64,
+}
+
+/// Limits for callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Largest head of a request, in bytes.
+    pub head: usize,
+    /// Largest body of a request, in bytes.
+    pub body: usize,
+    /// Time within which a request has to arrive.
+    pub head_timeout: Duration,
+    /// Time after which an idle connection is closed.
+    pub idle_timeout: Duration,
+}
+
+impl Default for Limits {
+    /// Returns what holds until the operators have said otherwise: common defaults of HTTP servers.
+    fn default() -> Self {
+        Self {
+            head: 16 * 1024,
+            body: 1024 * 1024,
+            head_timeout: Duration::from_secs(5),
+            idle_timeout: Duration::from_mins(1),
+        }
+    }
+}
+
+impl Config {
+    /// Returns the route with the longest prefix of a path.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let key = |route: &Route| {
+            (
+                route.host.as_str().cmp(host),
+                route.prefix.as_str().cmp(path),
+            )
+        };
+        // Every prefix of the path sorts at or before it, and longer prefixes sort later.
+        let end = self
+            .routes
+            .partition_point(|route| key(route).0.then(key(route).1).is_le());
+        self.routes[..end]
+            .iter()
+            .rev()
+            .take_while(|route| route.host == host)
+            .find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// Returns a service.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        let position = self
+            .services
+            .binary_search_by(|service| (*service.name).cmp(name));
+        position.ok().map(|position| &self.services[position])
+    }
+
+    /// Returns the team that a caller key belongs to.
+    #[must_use]
+    pub fn team(&self, key: &str) -> Option<&Team> {
+        let position = self
+            .keys
+            .binary_search_by(|(other, _)| other.as_str().cmp(key));
+        position
+            .ok()
+            .map(|position| &self.teams[self.keys[position].1])
+    }
+
+    /// Sorts all lists, which the lookups rely on.
+    pub fn sort(&mut self) {
+        self.routes
+            .sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
+        self.services.sort_by(|a, b| a.name.cmp(&b.name));
+        self.keys.sort();
+    }
+}
--- /dev/null
+++ b/crates/kumquat-router/src/coordination.rs
@@ -0,0 +1,387 @@
+//! The `coordination` module provides the coordinator's work on this VM while it holds the lease.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquat_coordination::fleet::{
+    Action, Coordinator, Failed, Holder, Map, Member, Options, Region, Server,
+};
+use kumquat_state::clock::{self, Instant};
+use slog::{debug, info, warn};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::timeout;
+
+use crate::dialect::{self, Call};
+use crate::upstream::{self, Answer, Failure, MISDIRECTED};
+use crate::vm::{Vm, team_id};
+
+/// Interval at which the coordinator looks for what is due.
+const TICK: Duration = Duration::from_millis(40);
+
+/// How long a grant holds in ordinary times: the time for which the keys of a silent upstream have no owner.
+const HOLD: Duration = Duration::from_secs(4);
+
+/// Time after which a grant is renewed; three renewals fit into a hold.
+const RENEWAL: Duration = Duration::from_millis(1_200);
+
+/// Time between two looks at the balance of the owners.
+const BALANCE: Duration = Duration::from_millis(300);
+
+/// Time within which a grant is answered.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time within which a release is answered, which may have to wait for work on the keys to end.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// A change of a service's owners that has to be written.
+#[derive(Clone, Debug)]
+pub struct Commit {
+    /// The service.
+    pub service: Arc<str>,
+    /// The owners.
+    pub map: Map,
+}
+
+/// The coordinators of all keyed services.
+#[derive(Debug)]
+pub struct Coordination {
+    vm: Rc<Vm>,
+    coordinators: RefCell<Vec<(Arc<str>, Coordinator)>>,
+    valid_until: Cell<Instant>,
+    is_store_lost: Cell<bool>,
+    commits: UnboundedSender<Commit>,
+    // Upstreams as they were last seen in the registry; one whose entry has lapsed may still hold keys.
+    known: RefCell<Vec<Server>>,
+}
+
+impl Coordination {
+    /// Creates the part of a VM that does not hold the lease; what has to be written goes to `commits`.
+    #[must_use]
+    pub fn open(vm: Rc<Vm>, commits: UnboundedSender<Commit>) -> Rc<Self> {
+        Rc::new(Self {
+            vm,
+            coordinators: RefCell::default(),
+            valid_until: Cell::new(Instant::ORIGIN),
+            is_store_lost: Cell::new(false),
+            commits,
+            known: RefCell::default(),
+        })
+    }
+
+    /// Returns whether this VM holds the lease.
+    #[must_use]
+    pub fn is_leading(&self) -> bool {
+        clock::now() < self.valid_until.get()
+    }
+
+    /// Extends the lease, or gains it.
+    pub fn lead(&self, until: Instant) {
+        if !self.is_leading() {
+            info!(self.vm.log, "coordinator's lease gained"; "vm" => &self.vm.identity.name);
+            self.coordinators.borrow_mut().clear();
+        }
+        self.valid_until.set(self.valid_until.get().max(until));
+    }
+
+    /// Gives the lease up.
+    pub fn resign(&self) {
+        if self.is_leading() {
+            info!(self.vm.log, "coordinator's lease lost"; "vm" => &self.vm.identity.name);
+        }
+        self.valid_until.set(Instant::ORIGIN);
+        self.coordinators.borrow_mut().clear();
+    }
+
+    /// Sets whether the store fails to answer, so that grants have to outlast that.
+    pub fn set_store_lost(&self, is_lost: bool) {
+        self.is_store_lost.set(is_lost);
+    }
+
+    /// Returns the fencing tokens whose owners have their grants before the map says so, if this VM holds the lease.
+    #[must_use]
+    pub fn settled(&self) -> Option<Vec<(u32, u64)>> {
+        if !self.is_leading() {
+            return None;
+        }
+        let coordinators = self.coordinators.borrow();
+        let settled = coordinators.iter().flat_map(|(service, coordinator)| {
+            let fences = coordinator.settled().into_iter();
+            let service = team_id(service);
+            fences.map(move |fence| (service, fence))
+        });
+        Some(settled.collect())
+    }
+
+    /// Counts keys of a service, which is named by its short id.
+    pub fn count(&self, service: u32, keys: &[u16]) {
+        let mut coordinators = self.coordinators.borrow_mut();
+        let found = coordinators
+            .iter_mut()
+            .find(|(name, _)| team_id(name) == service);
+        if let Some((_, coordinator)) = found {
+            coordinator.count(keys);
+        }
+    }
+
+    /// Reports that owners were written.
+    pub fn committed(&self, service: &Arc<str>, map: &Map) {
+        self.with(service, |coordinator| coordinator.committed(map));
+    }
+
+    /// Reports that owners could not be written, or that it is not known whether they were.
+    pub fn not_committed(&self, service: &Arc<str>) {
+        self.with(service, Coordinator::not_committed);
+    }
+
+    /// Reports the owners that the store holds, which may be more than this coordinator knows to have written.
+    pub fn observed(&self, service: &Arc<str>, map: &Map) {
+        self.with(service, |coordinator| coordinator.observed(map));
+    }
+
+    fn with(&self, service: &Arc<str>, act: impl FnOnce(&mut Coordinator)) {
+        let mut coordinators = self.coordinators.borrow_mut();
+        if let Some((_, coordinator)) = coordinators.iter_mut().find(|(name, _)| name == service) {
+            act(coordinator);
+        }
+    }
+
+    /// Does what is due for as long as the process runs.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(TICK).await;
+            if self.is_leading() {
+                self.tick();
+            } else if !self.coordinators.borrow().is_empty() {
+                self.resign();
+            }
+        }
+    }
+
+    fn tick(self: &Rc<Self>) {
+        let now = clock::now();
+        let Some(config) = self.vm.config() else {
+            return;
+        };
+        let keyed = config.services.iter().filter(|service| service.is_keyed);
+        let mut coordinators = self.coordinators.borrow_mut();
+        for service in keyed {
+            let position = match coordinators.binary_search_by(|(name, _)| name.cmp(&service.name))
+            {
+                Ok(position) => position,
+                Err(position) => {
+                    let map = self.vm.map(&service.name).unwrap_or_default();
+                    let coordinator = Coordinator::new(now, self.options(), map);
+                    coordinators.insert(position, (Arc::clone(&service.name), coordinator));
+                    position
+                }
+            };
+            let coordinator = &mut coordinators[position].1;
+            coordinator.set_extending(self.is_store_lost.get());
+            coordinator.set_members(self.members(now, &service.name));
+            let mut actions = Vec::new();
+            coordinator.tick(now, &mut actions);
+            for action in actions {
+                self.act(&service.name, action);
+            }
+        }
+    }
+
+    fn options(&self) -> Options {
+        let longest_hold = self.vm.bounds.longest_hold;
+        Options {
+            hold: HOLD.min(longest_hold),
+            longest_hold,
+            renewal: RENEWAL,
+            balance: BALANCE,
+        }
+    }
+
+    fn members(&self, now: Instant, service: &str) -> Vec<Member> {
+        let servers = self.vm.servers(service);
+        let mut known = self.known.borrow_mut();
+        for (server, ..) in &servers {
+            match known.binary_search_by(|other| other.name.cmp(&server.name)) {
+                Ok(position) => known[position] = server.clone(),
+                Err(position) => known.insert(position, server.clone()),
+            }
+        }
+        servers
+            .into_iter()
+            .map(|(server, cold_until, is_open)| Member {
+                holder: Holder {
+                    name: Arc::clone(&server.name),
+                    born: server.born,
+                },
+                may_own: is_open,
+                is_warm: cold_until <= now,
+                capacity: f64::from(server.slots.max(1)) / self.vm.slowness(&server.name),
+            })
+            .collect()
+    }
+
+    fn act(self: &Rc<Self>, service: &Arc<str>, action: Action) {
+        match action {
+            Action::Commit(map) => {
+                let commit = Commit {
+                    service: Arc::clone(service),
+                    map,
+                };
+                if self.commits.send(commit).is_err() {
+                    warn!(
+                        self.vm.log,
+                        "owners can't be written: the store client has ended"
+                    );
+                }
+            }
+            Action::Grant {
+                holder,
+                region,
+                fence,
+                hold,
+                handover,
+            } => {
+                let (this, service) = (Rc::clone(self), Arc::clone(service));
+                tokio::task::spawn_local(async move {
+                    let call = (this.vm.dialect.grant)(&dialect::Grant {
+                        region: &region,
+                        fence,
+                        hold,
+                        handover: handover.as_deref(),
+                    });
+                    let result = this
+                        .order("grant", &holder, &region, fence, call, GRANT_TIMEOUT)
+                        .await;
+                    this.with(&service, |coordinator| match result {
+                        Ok(_) => coordinator.granted(clock::now(), &holder, fence),
+                        Err(failed) => {
+                            coordinator.not_granted(clock::now(), &holder, fence, failed);
+                        }
+                    });
+                });
+            }
+            Action::Release {
+                holder,
+                region,
+                fence,
+            } => {
+                let (this, service) = (Rc::clone(self), Arc::clone(service));
+                tokio::task::spawn_local(async move {
+                    let call = (this.vm.dialect.release)(&region, fence);
+                    let result = this
+                        .order("release", &holder, &region, fence, call, RELEASE_TIMEOUT)
+                        .await;
+                    this.with(&service, |coordinator| match result {
+                        Ok(answer) => {
+                            let handover = answer.head.headers.text(this.vm.dialect.handover);
+                            coordinator.released(&region, fence, handover.map(str::to_owned));
+                        }
+                        Err(failed) => coordinator.not_released(clock::now(), &holder, failed),
+                    });
+                });
+            }
+        }
+    }
+
+    /// Sends an order to an upstream, unless the lease has run out.
+    async fn order(
+        &self,
+        kind: &str,
+        holder: &Holder,
+        region: &Region,
+        fence: u64,
+        call: Call,
+        limit: Duration,
+    ) -> Result<Answer, Failed> {
+        let server = {
+            let known = self.known.borrow();
+            let position = known.binary_search_by(|server| server.name.cmp(&holder.name));
+            position.ok().map(|position| known[position].clone())
+        };
+        let result = match server {
+            None => Err((Failed::Silent, "never registered".to_owned())),
+            Some(server) if server.born != holder.born => {
+                Err((Failed::Dead, "another life is registered".to_owned()))
+            }
+            Some(server) => match timeout(limit, self.call(&server, call)).await {
+                Ok(result) => result,
+                Err(_elapsed) => Err((Failed::Silent, "no answer in time".to_owned())),
+            },
+        };
+        let outcome = match &result {
+            Ok(_) => "done",
+            Err((Failed::Refused, _)) => "refused",
+            Err((Failed::Dead, _)) => "dead",
+            Err((Failed::Silent, _)) => "silent",
+            Err((Failed::Outdated, _)) => "outdated",
+        };
+        self.vm
+            .metrics
+            .orders
+            .with_label_values(&[kind, outcome])
+            .inc();
+        match &result {
+            Ok(_) => debug!(self.vm.log, "order done"; "kind" => kind, "upstream" => &*holder.name,
+                "first" => region.start(), "last" => region.end(), "fence" => fence),
+            Err((_, error)) => {
+                info!(self.vm.log, "order failed"; "kind" => kind, "upstream" => &*holder.name,
+                "first" => region.start(), "last" => region.end(), "fence" => fence,
+                "outcome" => outcome, "error" => error);
+            }
+        }
+        result.map_err(|(failed, _)| failed)
+    }
+
+    async fn call(
+        &self,
+        server: &Server,
+        Call { path, body }: Call,
+    ) -> Result<Answer, (Failed, String)> {
+        let silent = |error: Failure| (Failed::Silent, error.to_string());
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\n{}: {}\r\nContent-Length: {}\r\n\r\n",
+            server.address,
+            self.vm.dialect.expected,
+            server.name,
+            body.len()
+        );
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(&body);
+        let pooled = self.vm.pool.borrow_mut().take(server.address);
+        let mut wire = match pooled {
+            Some(wire) => wire,
+            None => match upstream::connect(server.address, upstream::CONNECT_TIMEOUT).await {
+                Ok(wire) => wire,
+                Err(Failure::Refused) => return Err((Failed::Refused, "refused".to_owned())),
+                Err(error) => return Err(silent(error)),
+            },
+        };
+        // The lease may have run out while the connection was made.
+        if !self.is_leading() {
+            return Err((Failed::Silent, "the lease has run out".to_owned()));
+        }
+        let request = upstream::Request {
+            method: "POST",
+            bytes: &bytes,
+            id: None,
+        };
+        let answer = upstream::exchange(&mut wire, &request, &self.vm.dialect)
+            .await
+            .map_err(silent)?;
+        match answer.head.status {
+            200 => {
+                if let Some(idle) = answer.idle {
+                    self.vm.pool.borrow_mut().put(server.address, wire, idle);
+                }
+                Ok(answer)
+            }
+            409 => Err((
+                Failed::Outdated,
+                "a higher fencing token was seen".to_owned(),
+            )),
+            MISDIRECTED => Err((Failed::Dead, "another upstream has the address".to_owned())),
+            status => Err((Failed::Silent, format!("status {status}"))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/kumquat-router/src/gateway.rs
@@ -0,0 +1,552 @@
+//! The `gateway` module provides the way of one request from its caller to an upstream and back.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquat_coordination::fleet::{Ended, Taken};
+use kumquat_state::clock::{self, Instant};
+use tokio::time::timeout;
+
+use crate::config::{Config, Route};
+use crate::http::{Headers, RequestHead, Wire};
+use crate::journal::Line;
+use crate::upstream::{self, Answer, Failure, MISDIRECTED};
+use crate::vm::{Placed, Target, Unplaced, Urgency, Vm};
+
+/// Part of a route's usual time that must be left for a request to be worth sending.
+const LEAST_OF_MEAN: f64 = 0.6;
+
+/// Time that must be left for a request to be worth sending, whatever its route.
+const LEAST_TIME: Duration = Duration::from_millis(5);
+
+/// Tries to connect to upstreams for one request; nothing reaches an upstream by them.
+const CONNECT_LIMIT: usize = 4;
+
+/// Time after which the owner of a key is looked up again when an upstream did not hold the key.
+const OWNER_PAUSE: Duration = Duration::from_millis(20);
+
+/// Sends of a request that its key's owner may turn away before the request is refused.
+const MISDIRECTED_LIMIT: u32 = 2;
+
+/// Shortest time that a refused caller is told to wait; an answer and a new connection take as long.
+const RETRY_FIRST: Duration = Duration::from_millis(20);
+
+/// Longest time that a refused caller is told to wait.
+const RETRY_LAST: Duration = Duration::from_secs(2);
+
+/// Time that a caller is told to wait when the VM or the owner of a key is not known yet.
+const RETRY_UNKNOWN: Duration = Duration::from_millis(150);
+
+/// A request that has arrived whole.
+#[derive(Debug)]
+pub struct Incoming {
+    /// Head.
+    pub head: RequestHead,
+    /// Body.
+    pub body: Vec<u8>,
+    /// When its head arrived.
+    pub arrived: Instant,
+}
+
+/// What the caller's side and the request's task tell each other.
+#[derive(Debug, Default)]
+pub struct Signals {
+    /// Whether the caller has left.
+    pub has_left: Cell<bool>,
+    /// Whether an upstream may be at work on a request that must not run twice.
+    pub must_finish: Cell<bool>,
+}
+
+/// An answer for the caller.
+#[derive(Debug)]
+pub struct Reply {
+    /// Status code.
+    pub status: u16,
+    /// Header fields other than those of the connection.
+    pub headers: Headers,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Reply {
+    /// Returns an answer of the router's own.
+    #[must_use]
+    pub fn own(status: u16, reason: &str) -> Self {
+        let mut headers = Headers::default();
+        headers.push("Content-Type", "text/plain");
+        Self {
+            status,
+            headers,
+            body: format!("{reason}\n").into_bytes(),
+        }
+    }
+
+    fn refused(status: u16, reason: &str, after: Duration) -> Self {
+        let mut reply = Self::own(status, reason);
+        let after = after.clamp(RETRY_FIRST, RETRY_LAST).as_secs_f64();
+        reply.headers.push("Retry-After", &format!("{after:.3}"));
+        reply
+    }
+}
+
+/// A request whose route, team and service are known.
+struct Request<'a> {
+    vm: &'a Rc<Vm>,
+    route: &'a Route,
+    team: Option<&'a str>,
+    rank: u32,
+    target: Target,
+    incoming: &'a Incoming,
+    id: &'a str,
+    deadline: Instant,
+    signals: &'a Signals,
+}
+
+/// What happened to a request on its way.
+#[derive(Debug, Default)]
+struct Story {
+    tried: Vec<Arc<str>>,
+    sends: u32,
+    misdirected: u32,
+    may_have_run: bool,
+    waited: Duration,
+}
+
+/// Why a request ends without an upstream's answer.
+struct Refusal {
+    status: u16,
+    reason: &'static str,
+    after: Duration,
+}
+
+/// Serves a request; the line about it is logged.
+pub async fn serve(vm: &Rc<Vm>, incoming: &Incoming, signals: &Signals) -> Reply {
+    let mut story = Story::default();
+    let mut line = Line::default();
+    let config = vm.config();
+    let reply = if let Some(config) = &config {
+        line.version = config.version;
+        admit(vm, config, incoming, signals, &mut story, &mut line).await
+    } else {
+        line.reason = "no desired state yet";
+        Reply::refused(503, line.reason, RETRY_UNKNOWN)
+    };
+    let took = clock::now().saturating_since(incoming.arrived);
+    line.id = incoming
+        .head
+        .headers
+        .text(vm.dialect.attempt)
+        .unwrap_or_default();
+    line.status = reply.status;
+    line.took_ms = millis(took);
+    line.waited_ms = millis(story.waited);
+    line.upstreams = story.tried.join(",");
+    line.waiting = vm.waiting();
+    vm.journal.write(&line);
+    vm.metrics.answers.with_label_values(&[line.reason]).inc();
+    vm.metrics.latency.observe(took.as_secs_f64());
+    vm.metrics.wait.observe(story.waited.as_secs_f64());
+    reply
+}
+
+/// Finds out what a request is and whether it may run, and runs it.
+async fn admit<'a>(
+    vm: &Rc<Vm>,
+    config: &'a Config,
+    incoming: &Incoming,
+    signals: &Signals,
+    story: &mut Story,
+    line: &mut Line<'a>,
+) -> Reply {
+    let headers = &incoming.head.headers;
+    let mut refuse = |status, reason| {
+        line.reason = reason;
+        Reply::own(status, reason)
+    };
+    let mut hosts = headers.all("host");
+    let (Some(host), None) = (hosts.next(), hosts.next()) else {
+        return refuse(400, "not exactly one Host");
+    };
+    let Some(id) = headers.text(vm.dialect.attempt) else {
+        return refuse(400, "no id");
+    };
+    let host = String::from_utf8_lossy(host).to_ascii_lowercase();
+    let host = host
+        .rsplit_once(':')
+        .map_or(host.as_str(), |(name, _)| name);
+    let path = incoming
+        .head
+        .target
+        .split(['?', '#'])
+        .next()
+        .unwrap_or_default();
+    let Some(route) = config.route(host, path) else {
+        return refuse(404, "no route");
+    };
+    let team = headers
+        .text("authorization")
+        .and_then(|value| value.split_once(' '))
+        .filter(|(scheme, _)| scheme.eq_ignore_ascii_case(vm.dialect.scheme))
+        .and_then(|(_, key)| config.team(key.trim()));
+    if team.is_none() && !route.is_open && !config.teams.is_empty() {
+        return refuse(401, "unknown caller key");
+    }
+
+    line.route = &route.name;
+    line.team = team.map_or("", |team| &team.name);
+    let waits = headers
+        .text(vm.dialect.deadline)
+        .and_then(|value| value.trim().parse().ok())
+        .map_or(route.timeout, Duration::from_millis);
+    let waits = waits.min(route.timeout);
+    line.deadline_ms = millis(waits);
+    if let Some(team) = team
+        && let Taken::Exhausted { wait } = vm.take_rate(&team.name)
+    {
+        line.reason = "above the team's rate";
+        return Reply::refused(429, line.reason, seconds(wait));
+    }
+    let Some(service) = vm.split(route) else {
+        return refuse(503, "the route has no service");
+    };
+    let is_keyed = config
+        .service(&service)
+        .is_some_and(|service| service.is_keyed);
+    let key = headers
+        .text(vm.dialect.key)
+        .and_then(|key| key.trim().parse().ok());
+    if is_keyed && key.is_none() {
+        return refuse(400, "no key number");
+    }
+    let request = Request {
+        vm,
+        route,
+        team: team.map(|team| team.name.as_str()),
+        rank: team.and_then(|team| team.rank).unwrap_or(route.rank),
+        target: Target {
+            service,
+            key: key.filter(|_| is_keyed),
+        },
+        incoming,
+        id,
+        deadline: incoming.arrived + waits,
+        signals,
+    };
+    vm.count(&request.target);
+    match request.run(story).await {
+        Ok(reply) => {
+            line.reason = "answered";
+            reply
+        }
+        Err(refusal) => {
+            // A request that no upstream has seen is not counted against its team.
+            if let (0, Some(team)) = (story.sends, request.team) {
+                vm.put_back_rate(team);
+            }
+            line.reason = refusal.reason;
+            match refusal.status {
+                503 => Reply::refused(503, refusal.reason, refusal.after),
+                status => Reply::own(status, refusal.reason),
+            }
+        }
+    }
+}
+
+/// What follows from one try at an upstream.
+enum Next {
+    Reply(Reply),
+    Again(&'static str),
+    GiveUp(&'static str),
+}
+
+impl Request<'_> {
+    /// Sends the request to upstreams until one has answered or it has to be given up.
+    async fn run(&self, story: &mut Story) -> Result<Reply, Refusal> {
+        loop {
+            let placed = self.place(story).await?;
+            let next = self.attempt(placed, story).await;
+            let reason = match next {
+                Next::Reply(reply) => return Ok(reply),
+                Next::GiveUp(reason) => return Err(self.refusal(story, reason, Duration::ZERO)),
+                Next::Again(reason) => reason,
+            };
+            let is_spent = story.sends >= self.route.max_attempts.max(1);
+            if story.may_have_run && !self.route.is_idempotent {
+                return Err(self.refusal(story, reason, Duration::ZERO));
+            }
+            if story.tried.len() >= CONNECT_LIMIT || is_spent || self.signals.has_left.get() {
+                return Err(self.refusal(story, reason, self.vm.mean(self.route)));
+            }
+            if story.misdirected > 0 {
+                tokio::time::sleep(OWNER_PAUSE).await;
+            }
+            // An upstream that was not reached has cost nobody anything.
+            if story.sends > 0 && !self.vm.take_repeat(&self.target.service) {
+                return Err(self.refusal(story, reason, self.vm.mean(self.route)));
+            }
+            if let (true, Some(team)) = (story.may_have_run, self.team) {
+                self.vm.repeat_rate(team);
+            }
+        }
+    }
+
+    async fn place(&self, story: &mut Story) -> Result<Placed, Refusal> {
+        let mean = self.vm.mean(self.route);
+        let least = mean.mul_f64(LEAST_OF_MEAN).max(LEAST_TIME);
+        let latest = self.deadline - least.min(self.route.timeout / 2);
+        let started = clock::now();
+        if started > latest {
+            return Err(self.refusal(story, "too little time left", mean));
+        }
+        let urgency = Urgency {
+            rank: self.rank,
+            latest,
+            mean,
+        };
+        let tried = if self.target.key.is_some() {
+            &[]
+        } else {
+            &*story.tried
+        };
+        let placed = self.vm.place(&self.target, tried, urgency).await;
+        story.waited += clock::now().saturating_since(started);
+        placed.map_err(|unplaced| match unplaced {
+            Unplaced::Nowhere => self.refusal(story, "no upstream", RETRY_UNKNOWN),
+            Unplaced::Busy { wait } => self.refusal(story, "no room in time", seconds(wait)),
+        })
+    }
+
+    /// Sends the request to one upstream.
+    async fn attempt(&self, placed: Placed, story: &mut Story) -> Next {
+        let name = Arc::clone(&placed.server.name);
+        let address = placed.server.address;
+        story.tried.push(Arc::clone(&name));
+        let pooled = self.vm.pool.borrow_mut().take(address);
+        let wire = if let Some(wire) = pooled {
+            Ok(wire)
+        } else {
+            let left = clock::now().until(self.deadline);
+            upstream::connect(address, left.min(upstream::CONNECT_TIMEOUT)).await
+        };
+        let mut wire = match wire {
+            Ok(wire) => wire,
+            Err(failure) => {
+                self.count_attempt("unreachable");
+                placed.end(Ended::Unreachable, None);
+                slog::debug!(self.vm.log, "upstream not reached"; "upstream" => &*name, "error" => %failure);
+                return Next::Again("no connection to an upstream");
+            }
+        };
+
+        let left = clock::now().until(self.deadline);
+        if left < LEAST_TIME {
+            return Next::GiveUp("too little time left");
+        }
+        let bytes = self.render(&placed, left);
+        let started = clock::now();
+        story.sends += 1;
+        self.signals.must_finish.set(!self.route.is_idempotent);
+        let request = upstream::Request {
+            method: &self.incoming.head.method,
+            bytes: &bytes,
+            id: Some(self.id),
+        };
+        let exchange = upstream::exchange(&mut wire, &request, &self.vm.dialect);
+        let result = timeout(left, exchange).await;
+        let took = clock::now().saturating_since(started);
+        let next = self.conclude(result, took, placed, wire, story);
+        if !story.may_have_run {
+            self.signals.must_finish.set(false);
+        }
+        next
+    }
+
+    /// Draws the conclusion from what came of a try.
+    fn conclude(
+        &self,
+        result: Result<Result<Answer, Failure>, tokio::time::error::Elapsed>,
+        took: Duration,
+        placed: Placed,
+        wire: Wire,
+        story: &mut Story,
+    ) -> Next {
+        let relative = took.as_secs_f64() / self.vm.mean(self.route).as_secs_f64().max(0.001);
+        let answer = match result {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(failure)) => {
+                self.count_attempt("broken");
+                story.may_have_run = true;
+                slog::debug!(self.vm.log, "upstream answer broken"; "id" => self.id,
+                    "upstream" => &*placed.server.name, "error" => %failure);
+                placed.end(Ended::Failed { relative: None }, None);
+                return Next::Again("the upstream's answer broke off");
+            }
+            Err(_elapsed) => {
+                self.count_attempt("timeout");
+                story.may_have_run = true;
+                placed.end(
+                    Ended::Failed {
+                        relative: Some(relative),
+                    },
+                    None,
+                );
+                return Next::GiveUp("no answer in time");
+            }
+        };
+
+        let load = (self.vm.dialect.load)(&answer.head.headers);
+        let address = placed.server.address;
+        if let Some(idle) = answer.idle {
+            self.vm.pool.borrow_mut().put(address, wire, idle);
+        }
+        if upstream::is_not_run(&answer.head, &self.vm.dialect) {
+            return self.not_run(&answer, placed, load, story);
+        }
+        let is_signed = answer
+            .head
+            .headers
+            .text(self.vm.dialect.signature)
+            .is_some();
+        if !is_signed {
+            self.count_attempt("unsigned");
+            story.may_have_run = true;
+            placed.end(Ended::Failed { relative: None }, load);
+            return Next::Again("the upstream's answer is not genuine");
+        }
+        let is_failure = answer.head.status >= 500;
+        if is_failure {
+            self.count_attempt("failure");
+            placed.end(Ended::Failed { relative: None }, load);
+            story.may_have_run = true;
+            let has_time = clock::now() + self.vm.mean(self.route) < self.deadline;
+            let may_repeat = self.route.is_idempotent
+                && has_time
+                && story.sends < self.route.max_attempts
+                && !self.signals.has_left.get();
+            if may_repeat && self.target.key.is_none() {
+                return Next::Again("the upstream failed");
+            }
+        } else {
+            self.count_attempt("answer");
+            self.vm.note_latency(self.route, took);
+            self.vm.note_slowness(&placed.server, relative, load);
+            placed.end(Ended::Answered { relative }, load);
+        }
+        Next::Reply(reply(answer))
+    }
+
+    /// Handles an answer that says that the request was not run.
+    fn not_run(
+        &self,
+        answer: &Answer,
+        placed: Placed,
+        load: Option<kumquat_coordination::fleet::Load>,
+        story: &mut Story,
+    ) -> Next {
+        if answer.head.status != MISDIRECTED {
+            self.count_attempt("shed");
+            placed.end(Ended::Shed, load);
+            return Next::Again("the upstream shed the request");
+        }
+        self.count_attempt("misdirected");
+        placed.end(Ended::Abandoned, load);
+        story.misdirected += 1;
+        if story.misdirected > MISDIRECTED_LIMIT {
+            return Next::GiveUp("the upstream does not hold the key");
+        }
+        Next::Again("the upstream is not the one expected")
+    }
+
+    fn refusal(&self, story: &Story, reason: &'static str, after: Duration) -> Refusal {
+        // Statuses 429 and 503 promise that the request has not run and never will.
+        let status = match (story.may_have_run, clock::now() < self.deadline) {
+            (false, _) => 503,
+            (true, true) => 502,
+            (true, false) => 504,
+        };
+        Refusal {
+            status,
+            reason,
+            after,
+        }
+    }
+
+    fn count_attempt(&self, outcome: &str) {
+        self.vm.metrics.attempts.with_label_values(&[outcome]).inc();
+    }
+
+    /// Returns the request as the upstream gets it.
+    fn render(&self, placed: &Placed, left: Duration) -> Vec<u8> {
+        let dialect = &self.vm.dialect;
+        let head = &self.incoming.head;
+        let own = [
+            "authorization",
+            dialect.deadline,
+            dialect.expected,
+            dialect.team,
+        ];
+        let mut bytes = Vec::with_capacity(512 + self.incoming.body.len());
+        push(
+            &mut bytes,
+            &[&head.method, " ", &head.target, " HTTP/1.1\r\n"],
+        );
+        for header in &head.headers.0 {
+            let is_own = own
+                .iter()
+                .any(|name| name.eq_ignore_ascii_case(&header.name));
+            if is_own || head.headers.is_hop_by_hop(&header.name) {
+                continue;
+            }
+            push(&mut bytes, &[&header.name, ": "]);
+            bytes.extend_from_slice(&header.value);
+            push(&mut bytes, &["\r\n"]);
+        }
+        push(
+            &mut bytes,
+            &[dialect.deadline, ": ", &millis(left).to_string(), "\r\n"],
+        );
+        push(
+            &mut bytes,
+            &[dialect.expected, ": ", &placed.server.name, "\r\n"],
+        );
+        if let Some(team) = self.team {
+            push(&mut bytes, &[dialect.team, ": ", team, "\r\n"]);
+        }
+        if !self.incoming.body.is_empty() || !matches!(&*head.method, "GET" | "HEAD") {
+            let length = self.incoming.body.len().to_string();
+            push(&mut bytes, &["Content-Length: ", &length, "\r\n"]);
+        }
+        push(&mut bytes, &["\r\n"]);
+        bytes.extend_from_slice(&self.incoming.body);
+        bytes
+    }
+}
+
+fn reply(answer: Answer) -> Reply {
+    let all = answer.head.headers;
+    let kept = all
+        .0
+        .iter()
+        .filter(|header| !all.is_hop_by_hop(&header.name));
+    Reply {
+        status: answer.head.status,
+        headers: Headers(kept.cloned().collect()),
+        body: answer.body,
+    }
+}
+
+fn push(bytes: &mut Vec<u8>, parts: &[&str]) {
+    for part in parts {
+        bytes.extend_from_slice(part.as_bytes());
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn seconds(value: f64) -> Duration {
+    Duration::try_from_secs_f64(value).unwrap_or(RETRY_LAST)
+}
--- /dev/null
+++ b/crates/kumquat-router/src/metrics.rs
@@ -0,0 +1,105 @@
+//! The `metrics` module provides the counters and histograms of a VM.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+/// Bounds of the latency buckets in seconds, spaced for deadlines between a tenth of a second and a few seconds.
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.01, 0.02, 0.04, 0.07, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0,
+];
+
+/// Counters and histograms of a VM.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Answers to callers by outcome.
+    pub answers: IntCounterVec,
+    /// Ends of requests at upstreams by outcome.
+    pub attempts: IntCounterVec,
+    /// Orders to upstreams by kind and outcome.
+    pub orders: IntCounterVec,
+    /// Calls to the store by kind and outcome.
+    pub store: IntCounterVec,
+    /// Log lines that were left out.
+    pub omitted: IntCounterVec,
+    /// Time from a request's arrival to its answer.
+    pub latency: Histogram,
+    /// Time for which requests wait for room at an upstream.
+    pub wait: Histogram,
+    /// Requests that wait for room.
+    pub waiting: IntGauge,
+    /// Open connections of callers.
+    pub connections: IntGauge,
+}
+
+impl Metrics {
+    /// Creates the metrics of a VM.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if two metrics have the same name.
+    pub fn open() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        let histogram = |name: &str, help: &str| {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+            let histogram = Histogram::with_opts(options)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok::<_, prometheus::Error>(histogram)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        Ok(Self {
+            answers: counter("kumquat_answers_total", "Answers to callers.", &["outcome"])?,
+            attempts: counter(
+                "kumquat_attempts_total",
+                "Ends of requests at upstreams.",
+                &["outcome"],
+            )?,
+            orders: counter(
+                "kumquat_orders_total",
+                "Grants and releases of keys.",
+                &["kind", "outcome"],
+            )?,
+            store: counter(
+                "kumquat_store_calls_total",
+                "Calls to the store.",
+                &["kind", "outcome"],
+            )?,
+            omitted: counter(
+                "kumquat_log_lines_omitted_total",
+                "Log lines that were left out to bound the volume.",
+                &["kind"],
+            )?,
+            latency: histogram(
+                "kumquat_request_seconds",
+                "Time from a request's arrival to its answer.",
+            )?,
+            wait: histogram(
+                "kumquat_wait_seconds",
+                "Time for which a request waits for room at an upstream.",
+            )?,
+            waiting: gauge("kumquat_waiting_requests", "Requests that wait for room.")?,
+            connections: gauge("kumquat_caller_connections", "Open connections of callers.")?,
+            registry,
+        })
+    }
+
+    /// Returns all metrics as text.
+    #[must_use]
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            Ok(()) => text,
+            Err(error) => format!("# the metrics can't be shown: {error}\n").into_bytes(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/kumquat-router/src/peers.rs
@@ -0,0 +1,279 @@
+//! The `peers` module provides the reports that VMs send each other about what they have under way.
+//!
+//! Reports are datagrams: a lost one is replaced by the next, and nothing that must hold depends on one.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use kumquat_state::clock;
+use serde::{Deserialize, Serialize};
+use slog::debug;
+use tokio::net::UdpSocket;
+
+use crate::coordination::Coordination;
+use crate::vm::{Vm, team_id};
+
+/// Interval at which changes of the requests under way are reported in a fleet of [`USUAL_VMS`].
+///
+/// It is about half of the shortest usual time of a request, so that most requests are seen while they run.
+const REPORT_INTERVAL: Duration = Duration::from_millis(25);
+
+/// VMs up to which reports keep the usual interval; it grows with their number, because each report goes to all.
+const USUAL_VMS: u32 = 9;
+
+/// Interval of reports without changes, which also carry the demand of the teams.
+const FULL_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Largest datagram that is read, in bytes.
+const DATAGRAM_LIMIT: usize = 8 * 1024;
+
+/// Keys of one datagram; the rest goes with the next one.
+const KEYS_LIMIT: usize = 512;
+
+/// A report as it travels.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Number of the sending process.
+    #[serde(rename = "f")]
+    pub from: u64,
+    /// Position in the order of the sender's reports; datagrams may overtake each other.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// Requests under way: id of the upstream and count, in turn.
+    #[serde(rename = "r", default)]
+    pub running: Vec<u32>,
+    /// Demand by team: id and requests in ten seconds, in turn; present in full reports.
+    #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
+    pub demands: Option<Vec<u32>>,
+    /// Revision of the store that the sender has read up to; present in full reports.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub revision: Option<u64>,
+    /// Fencing tokens whose owners have their grants, by service; sent by the coordinator only.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub settled: Option<Vec<(u32, u64)>>,
+    /// Latencies relative to others in percent: id of the upstream and figure, for the coordinator only.
+    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+    pub latencies: Vec<(u32, u32)>,
+    /// Keys of requests by service, for the coordinator only.
+    #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
+    pub keys: Vec<(u32, Vec<u16>)>,
+}
+
+impl Report {
+    /// Encodes the report.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        match ciborium::into_writer(self, &mut bytes) {
+            Ok(()) => bytes,
+            Err(error) => unreachable!("a report can be written to memory: {error}"),
+        }
+    }
+
+    /// Decodes a report.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are no report.
+    pub fn decode(bytes: &[u8]) -> io::Result<Self> {
+        ciborium::from_reader(bytes).map_err(io::Error::other)
+    }
+}
+
+/// The exchange of reports.
+#[derive(Debug)]
+pub struct Exchange {
+    vm: Rc<Vm>,
+    coordination: Rc<Coordination>,
+    socket: UdpSocket,
+}
+
+impl Exchange {
+    /// Opens the socket for reports.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be bound.
+    pub async fn bind(
+        vm: Rc<Vm>,
+        coordination: Rc<Coordination>,
+        address: SocketAddr,
+    ) -> io::Result<Rc<Self>> {
+        let socket = UdpSocket::bind(address).await?;
+        Ok(Rc::new(Self {
+            vm,
+            coordination,
+            socket,
+        }))
+    }
+
+    /// Takes the reports of other VMs for as long as the process runs.
+    pub async fn receive(self: Rc<Self>) {
+        let mut numbers: Vec<(u64, u64)> = Vec::new();
+        let mut buffer = vec![0; DATAGRAM_LIMIT];
+        loop {
+            let length = match self.socket.recv_from(&mut buffer).await {
+                Ok((length, _)) => length,
+                Err(error) => {
+                    debug!(self.vm.log, "report not received"; "error" => %error);
+                    continue;
+                }
+            };
+            match Report::decode(&buffer[..length]) {
+                Ok(report) => self.take(report, &mut numbers),
+                Err(error) => debug!(self.vm.log, "report not understood"; "error" => %error),
+            }
+        }
+    }
+
+    fn take(&self, report: Report, numbers: &mut Vec<(u64, u64)>) {
+        let position = match numbers.binary_search_by_key(&report.from, |entry| entry.0) {
+            Ok(position) => position,
+            Err(position) => {
+                numbers.insert(position, (report.from, 0));
+                position
+            }
+        };
+        for (service, keys) in &report.keys {
+            self.coordination.count(*service, keys);
+        }
+        let latencies = report.latencies.iter();
+        let latencies: Vec<(u32, f64)> = latencies
+            .map(|(id, percent)| (*id, f64::from(*percent) / 100.0))
+            .collect();
+        self.vm.observe(&latencies);
+        if report.number <= numbers[position].1 {
+            return;
+        }
+        numbers[position].1 = report.number;
+        if let Some(revision) = report.revision {
+            self.vm.see_revision(revision);
+        }
+        if let Some(settled) = report.settled {
+            self.vm.set_settled(settled);
+        }
+        let running = pairs(&report.running);
+        let demands = report.demands.map(|demands| {
+            let decoded = pairs(&demands).into_iter();
+            decoded
+                .map(|(team, tenths)| (team, f64::from(tenths) / 10.0))
+                .collect::<Vec<_>>()
+        });
+        self.vm.report(report.from, &running, demands.as_deref());
+    }
+
+    /// Sends reports to the other VMs for as long as the process runs.
+    pub async fn send(self: Rc<Self>) {
+        let mut number = 0;
+        let mut last_running = Vec::new();
+        let mut last_settled = None;
+        let mut last_full = clock::now();
+        loop {
+            let peers = self.vm.peers();
+            let vms = u32::try_from(peers.len() + 1).unwrap_or(u32::MAX);
+            let interval = REPORT_INTERVAL * vms.max(USUAL_VMS) / USUAL_VMS;
+            tokio::time::sleep(interval).await;
+            let is_full = clock::now().saturating_since(last_full) >= FULL_INTERVAL;
+            let running = self.vm.running();
+            let settled = self.coordination.settled();
+            if let Some(settled) = &settled {
+                self.vm.set_settled(settled.clone());
+            }
+            let is_news = settled != last_settled;
+            if !is_full && running == last_running && !is_news {
+                continue;
+            }
+            number += 1;
+            let mut report = Report {
+                from: self.vm.identity.incarnation,
+                number,
+                running: running.iter().flat_map(|pair| [pair.0, pair.1]).collect(),
+                ..Report::default()
+            };
+            if is_full {
+                last_full = clock::now();
+                report.demands = Some(self.demands());
+                report.revision = Some(self.vm.revision());
+            }
+            if is_full || is_news {
+                report.settled.clone_from(&settled);
+            }
+            last_settled = settled;
+            last_running = running;
+            let bytes = report.encode();
+            for peer in &peers {
+                self.post(&bytes, peer.address);
+            }
+            if is_full {
+                self.send_keys();
+            }
+        }
+    }
+
+    fn demands(&self) -> Vec<u32> {
+        let demands = self.vm.demands().into_iter();
+        demands
+            .flat_map(|(team, demand)| [team, tenths(demand)])
+            .collect()
+    }
+
+    /// Sends the keys of requests to the coordinator.
+    fn send_keys(&self) {
+        let mut keys: Vec<(u32, Vec<u16>)> = Vec::new();
+        for (service, key) in self.vm.take_keys().into_iter().take(KEYS_LIMIT) {
+            let id = team_id(&service);
+            match keys.iter_mut().find(|(other, _)| *other == id) {
+                Some((_, keys)) => keys.push(key),
+                None => keys.push((id, vec![key])),
+            }
+        }
+        let latencies = self.vm.take_latencies();
+        self.vm.observe(&latencies);
+        let Some(leader) = self.vm.leader() else {
+            return;
+        };
+        if leader == self.vm.identity.name {
+            for (service, keys) in &keys {
+                self.coordination.count(*service, keys);
+            }
+            return;
+        }
+        let peers = self.vm.peers();
+        let peer = peers.iter().find(|peer| peer.name == leader);
+        if let (Some(peer), false) = (peer, keys.is_empty() && latencies.is_empty()) {
+            let latencies = latencies.into_iter();
+            let report = Report {
+                from: self.vm.identity.incarnation,
+                latencies: latencies
+                    .map(|(id, relative)| (id, tenths(relative * 10.0)))
+                    .collect(),
+                keys,
+                ..Report::default()
+            };
+            self.post(&report.encode(), peer.address);
+        }
+    }
+
+    fn post(&self, bytes: &[u8], address: SocketAddr) {
+        // A full socket loses the report, as the network may.
+        if let Err(error) = self.socket.try_send_to(bytes, address) {
+            debug!(self.vm.log, "report not sent"; "to" => %address, "error" => %error);
+        }
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a demand lies far below the largest value"
+)]
+fn tenths(demand: f64) -> u32 {
+    (demand * 10.0).ceil().clamp(0.0, f64::from(u32::MAX)) as u32
+}
+
+fn pairs(flat: &[u32]) -> Vec<(u32, u32)> {
+    let pairs = flat.chunks_exact(2);
+    pairs.map(|pair| (pair[0], pair[1])).collect()
+}
--- /dev/null
+++ b/crates/kumquat-router/src/record.rs
@@ -0,0 +1,135 @@
+//! The `record` module provides the form in which the VMs' own values lie in the store.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use kumquat_coordination::fleet::{Holder, Map, Range};
+use serde::{Deserialize, Serialize};
+
+/// A value that can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum Problem {
+    /// It is not the expected CBOR.
+    #[error("not a record: {0}")]
+    Cbor(String),
+    /// The owners don't cover all keys.
+    #[error("the owners do not cover all keys once")]
+    Map,
+}
+
+/// A VM as it registers itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Where it takes reports.
+    pub address: SocketAddr,
+    /// Number of the process.
+    pub incarnation: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireMap {
+    #[serde(rename = "n")]
+    next_fence: u64,
+    #[serde(rename = "r")]
+    ranges: Vec<WireRange>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireRange(u16, u16, u64, WireHolder, Vec<WireHolder>);
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireHolder(String, u64);
+
+impl From<&Holder> for WireHolder {
+    fn from(holder: &Holder) -> Self {
+        Self(holder.name.to_string(), holder.born)
+    }
+}
+
+impl From<WireHolder> for Holder {
+    fn from(wire: WireHolder) -> Self {
+        Self {
+            name: Arc::from(wire.0),
+            born: wire.1,
+        }
+    }
+}
+
+impl From<&Map> for WireMap {
+    fn from(map: &Map) -> Self {
+        let ranges = map.ranges.iter().map(|range| {
+            let previous = range.previous.iter().map(WireHolder::from).collect();
+            let owner = WireHolder::from(&range.owner);
+            WireRange(range.first, range.last, range.fence, owner, previous)
+        });
+        Self {
+            next_fence: map.next_fence,
+            ranges: ranges.collect(),
+        }
+    }
+}
+
+impl TryFrom<WireMap> for Map {
+    type Error = Problem;
+
+    fn try_from(wire: WireMap) -> Result<Self, Problem> {
+        let ranges = wire.ranges.into_iter().map(|range| Range {
+            first: range.0,
+            last: range.1,
+            fence: range.2,
+            owner: range.3.into(),
+            previous: range.4.into_iter().map(Holder::from).collect(),
+        });
+        let map = Self {
+            next_fence: wire.next_fence,
+            ranges: ranges.collect(),
+        };
+        if map.is_valid() {
+            Ok(map)
+        } else {
+            Err(Problem::Map)
+        }
+    }
+}
+
+/// Encodes owners.
+#[must_use]
+pub fn encode_map(map: &Map) -> Vec<u8> {
+    encode(&WireMap::from(map))
+}
+
+/// Decodes owners.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are no record or the owners don't cover all keys once.
+pub fn decode_map(bytes: &[u8]) -> Result<Map, Problem> {
+    decode::<WireMap>(bytes)?.try_into()
+}
+
+/// Encodes a VM's own entry.
+#[must_use]
+pub fn encode_member(member: &Member) -> Vec<u8> {
+    encode(member)
+}
+
+/// Decodes a VM's entry.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are no record.
+pub fn decode_member(bytes: &[u8]) -> Result<Member, Problem> {
+    decode(bytes)
+}
+
+fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    match ciborium::into_writer(value, &mut bytes) {
+        Ok(()) => bytes,
+        Err(error) => unreachable!("a record can be written to memory: {error}"),
+    }
+}
+
+fn decode<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Result<T, Problem> {
+    ciborium::from_reader(bytes).map_err(|error| Problem::Cbor(error.to_string()))
+}
--- /dev/null
+++ b/crates/kumquat-router/src/vm.rs
@@ -0,0 +1,876 @@
+//! The `vm` module provides what a VM knows and has under way, which its tasks share on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquat_coordination::fleet::{
+    Budget, Choice, Ended, Entry, Load, Map, Rates, Server, Split, Table, Waiting,
+};
+use kumquat_state::clock::{self, Instant};
+use rand::RngExt as _;
+use slog::{Logger, info};
+use tokio::sync::{Notify, oneshot};
+
+use crate::config::Config;
+use crate::dialect::Dialect;
+use crate::journal::Journal;
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+
+/// Interval at which waiting requests are looked at again when nothing else gives a reason.
+const WAITING_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Interval at which idle connections are looked through.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Weight of a new latency in a route's mean.
+const MEAN_WEIGHT: f64 = 0.05;
+
+/// Part of a route's aim that its requests take before any was measured.
+const MEAN_OF_AIM: f64 = 0.35;
+
+/// Bounds that the deployment sets.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Window of the retry budget.
+    pub retry_window: Duration,
+    /// Repeats per request.
+    pub retry_ratio: f64,
+    /// Repeats in a window besides.
+    pub retry_slack: f64,
+    /// Longest time for which an upstream may be granted keys.
+    pub longest_hold: Duration,
+    /// Time from a request to stop to the end of the process.
+    pub grace: Duration,
+}
+
+/// Who this VM is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Identity {
+    /// Name of the VM.
+    pub name: String,
+    /// Data centre of the VM.
+    pub data_centre: String,
+    /// Number that tells this process from earlier ones of the VM.
+    pub incarnation: u64,
+}
+
+/// Another VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Name of the VM.
+    pub name: String,
+    /// Where it takes reports.
+    pub address: SocketAddr,
+}
+
+/// What the tasks of a VM share.
+#[derive(Debug)]
+pub struct Vm {
+    /// Who this VM is.
+    pub identity: Identity,
+    /// Names on the wire.
+    pub dialect: Dialect,
+    /// Bounds of the deployment.
+    pub bounds: Bounds,
+    /// Log of what changes.
+    pub log: Logger,
+    /// Log of requests.
+    pub journal: Journal,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Open connections to upstreams.
+    pub pool: RefCell<Pool>,
+    /// Told when the process is to stop.
+    pub stopping: Notify,
+    state: RefCell<State>,
+    is_stopping: Cell<bool>,
+    is_loaded: Cell<bool>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    config: Option<Rc<Config>>,
+    table: Table,
+    rates: Rates,
+    budgets: Vec<(Arc<str>, Budget)>,
+    splits: Vec<(String, Split)>,
+    means: Vec<(String, f64)>,
+    maps: Vec<(Arc<str>, Map)>,
+    peers: Vec<Peer>,
+    leader: Option<String>,
+    waiting: Waiting,
+    waiters: Vec<Waiter>,
+    next_id: u64,
+    keys: Vec<(Arc<str>, u16)>,
+    // Latencies relative to others, by the upstream's short id, for the coordinator.
+    latencies: Vec<(u32, f64)>,
+    // Fencing tokens whose owners have their grants, by the service's short id.
+    settled: Vec<(u32, u64)>,
+    revision: u64,
+    seen_revision: u64,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    id: u64,
+    target: Target,
+    tried: Vec<Arc<str>>,
+    go: oneshot::Sender<Placed>,
+}
+
+/// Where a request may run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Target {
+    /// Service.
+    pub service: Arc<str>,
+    /// Key, if only the owner of the key may run it.
+    pub key: Option<u16>,
+}
+
+/// A request that was given a place at an upstream; dropping it gives the place back.
+#[derive(Debug)]
+pub struct Placed {
+    vm: Rc<Vm>,
+    /// The upstream.
+    pub server: Server,
+    is_ended: bool,
+}
+
+impl Placed {
+    /// Notes how the request ended.
+    pub fn end(mut self, ended: Ended, load: Option<Load>) {
+        self.is_ended = true;
+        self.vm.ended(&self.server, ended, load);
+    }
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            self.vm.ended(&self.server, Ended::Abandoned, None);
+        }
+    }
+}
+
+/// Why a request can't be placed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Unplaced {
+    /// No upstream of the service takes requests.
+    Nowhere,
+    /// It would be too late; there may be room after this many seconds.
+    Busy {
+        /// Seconds until there may be room.
+        wait: f64,
+    },
+}
+
+/// How long a request may wait for a place.
+#[derive(Clone, Copy, Debug)]
+pub struct Urgency {
+    /// Rank, the lowest first.
+    pub rank: u32,
+    /// Last time at which it is worth sending.
+    pub latest: Instant,
+    /// Time that a request of its route usually takes.
+    pub mean: Duration,
+}
+
+impl Vm {
+    /// Creates the state of a VM that knows nothing yet.
+    #[must_use]
+    pub fn open(
+        identity: Identity,
+        dialect: Dialect,
+        bounds: Bounds,
+        log: Logger,
+        metrics: Metrics,
+    ) -> Rc<Self> {
+        let journal = Journal::open(log.clone(), metrics.clone());
+        let mut state = State::default();
+        state.table.set_home(&identity.data_centre);
+        Rc::new(Self {
+            identity,
+            dialect,
+            bounds,
+            log,
+            journal,
+            metrics,
+            pool: RefCell::default(),
+            stopping: Notify::new(),
+            state: RefCell::new(state),
+            is_stopping: Cell::new(false),
+            is_loaded: Cell::new(false),
+        })
+    }
+
+    /// Returns the desired state in force.
+    #[must_use]
+    pub fn config(&self) -> Option<Rc<Config>> {
+        self.state.borrow().config.clone()
+    }
+
+    /// Puts a desired state in force, unless a newer one is.
+    pub fn set_config(self: &Rc<Self>, config: Config) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let current = state.config.as_ref().map(|config| config.version);
+        if current.is_some_and(|current| current >= config.version) {
+            return;
+        }
+        info!(self.log, "desired state in force"; "version" => config.version, "before" => current,
+            "routes" => config.routes.len(), "services" => config.services.len(), "teams" => config.teams.len());
+        let limits: Vec<(u32, f64, f64)> = config
+            .teams
+            .iter()
+            .map(|team| (team_id(&team.name), team.rate, team.burst))
+            .collect();
+        state.rates.set_teams(now, &limits);
+        state.config = Some(Rc::new(config));
+        // The limits of cold upstreams may have changed.
+        let servers: Vec<Server> = state.table.servers().cloned().collect();
+        for mut server in servers {
+            server.cold_for = Duration::ZERO;
+            state.upsert(now, server);
+        }
+        drop(state);
+        self.pump();
+    }
+
+    /// Notes that the registry of upstreams has been read once.
+    pub fn set_loaded(&self) {
+        self.is_loaded.set(true);
+    }
+
+    /// Returns whether the VM can serve callers: it knows the desired state and the upstreams, and is not stopping.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.is_loaded.get() && !self.is_stopping.get() && self.state.borrow().config.is_some()
+    }
+
+    /// Returns whether the VM is stopping.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.get()
+    }
+
+    /// Starts a graceful shutdown.
+    pub fn stop(&self) {
+        self.is_stopping.set(true);
+        self.stopping.notify_waiters();
+    }
+
+    /// Adds an upstream or takes over what changed.
+    pub fn upsert_server(self: &Rc<Self>, server: Server) {
+        let mut state = self.state.borrow_mut();
+        info!(self.log, "upstream registered"; "upstream" => &*server.name, "service" => &*server.service,
+            "draining" => server.is_draining, "born" => server.born,
+            "cold_ms" => u64::try_from(server.cold_for.as_millis()).unwrap_or(u64::MAX));
+        state.upsert(clock::now(), server);
+        drop(state);
+        self.pump();
+    }
+
+    /// Removes an upstream.
+    pub fn remove_server(self: &Rc<Self>, name: &str) {
+        info!(self.log, "upstream removed"; "upstream" => name);
+        self.state.borrow_mut().table.remove(name);
+        self.pump();
+    }
+
+    /// Sets the data centres that get nothing.
+    pub fn set_closed(self: &Rc<Self>, mut closed: Vec<Arc<str>>) {
+        closed.sort();
+        let mut state = self.state.borrow_mut();
+        if state.table.closed() == closed {
+            return;
+        }
+        info!(self.log, "closed data centres changed"; "closed" => closed.join(","));
+        let services = state.config.as_ref().map(|config| config.services.iter());
+        let longest = services
+            .and_then(|mut services| services.by_ref().map(|service| service.cold_for).max());
+        state
+            .table
+            .set_closed(clock::now(), &closed, longest.unwrap_or_default());
+        drop(state);
+        self.pump();
+    }
+
+    /// Sets the other VMs.
+    pub fn set_peers(&self, peers: Vec<Peer>) {
+        let mut state = self.state.borrow_mut();
+        if state.peers == peers {
+            return;
+        }
+        let names: Vec<&str> = peers.iter().map(|peer| peer.name.as_str()).collect();
+        info!(self.log, "peers changed"; "peers" => names.join(","));
+        let now = clock::now();
+        let vms = peers.len() + 1;
+        state.rates.set_vms(now, vms);
+        state.table.set_vms(vms);
+        for (_, budget) in &mut state.budgets {
+            budget.set_vms(self.bounds.retry_slack, vms);
+        }
+        state.peers = peers;
+    }
+
+    /// Returns the other VMs.
+    #[must_use]
+    pub fn peers(&self) -> Vec<Peer> {
+        self.state.borrow().peers.clone()
+    }
+
+    /// Sets the VM that holds the coordinator's lease.
+    pub fn set_leader(&self, leader: Option<String>) {
+        let mut state = self.state.borrow_mut();
+        if state.leader != leader {
+            info!(self.log, "coordinator changed"; "vm" => leader.as_deref());
+            state.leader = leader;
+        }
+    }
+
+    /// Returns the VM that holds the coordinator's lease.
+    #[must_use]
+    pub fn leader(&self) -> Option<String> {
+        self.state.borrow().leader.clone()
+    }
+
+    /// Sets the owners of a service's keys as the store has them.
+    pub fn set_map(self: &Rc<Self>, service: &Arc<str>, map: Map) {
+        let mut state = self.state.borrow_mut();
+        let moving = map.ranges.iter().filter(|range| !range.previous.is_empty());
+        info!(self.log, "owners changed"; "service" => &**service, "ranges" => map.ranges.len(),
+            "moving" => moving.count(), "next_fence" => map.next_fence);
+        match state.map_position(service) {
+            Ok(position) => state.maps[position].1 = map,
+            Err(position) => state.maps.insert(position, (Arc::clone(service), map)),
+        }
+        drop(state);
+        self.pump();
+    }
+
+    /// Returns the owners of a service's keys.
+    #[must_use]
+    pub fn map(&self, service: &str) -> Option<Map> {
+        let state = self.state.borrow();
+        let position = state.map_position(service).ok()?;
+        Some(state.maps[position].1.clone())
+    }
+
+    /// Returns the upstreams of a service, with the time until which each is cold.
+    #[must_use]
+    pub fn servers(&self, service: &str) -> Vec<(Server, Instant, bool)> {
+        let state = self.state.borrow();
+        let servers = state
+            .table
+            .servers()
+            .filter(|server| &*server.service == service);
+        servers
+            .map(|server| {
+                let cold_until = state.table.cold_until(&server.name);
+                (server.clone(), cold_until, state.table.is_open(server))
+            })
+            .collect()
+    }
+
+    /// Finds an upstream by name.
+    #[must_use]
+    pub fn server(&self, name: &str) -> Option<Server> {
+        let state = self.state.borrow();
+        state
+            .table
+            .servers()
+            .find(|server| &*server.name == name)
+            .cloned()
+    }
+
+    /// Takes a request from its team's rate.
+    pub fn take_rate(&self, team: &str) -> kumquat_coordination::fleet::Taken {
+        self.state
+            .borrow_mut()
+            .rates
+            .take(clock::now(), team_id(team))
+    }
+
+    /// Returns what a request took from its team's rate that was never sent.
+    pub fn put_back_rate(&self, team: &str) {
+        self.state.borrow_mut().rates.put_back(team_id(team));
+    }
+
+    /// Counts a second send of a request against its team's rate.
+    pub fn repeat_rate(&self, team: &str) {
+        self.state
+            .borrow_mut()
+            .rates
+            .repeat(clock::now(), team_id(team));
+    }
+
+    /// Returns the service for the next request of a route.
+    #[must_use]
+    pub fn split(&self, route: &crate::config::Route) -> Option<Arc<str>> {
+        if let [part] = &*route.parts {
+            return Some(Arc::clone(&part.service));
+        }
+        let weights: Vec<u32> = route.parts.iter().map(|part| part.weight).collect();
+        let mut state = self.state.borrow_mut();
+        let position = state
+            .splits
+            .binary_search_by(|(name, _)| name.cmp(&route.name));
+        let position = position.unwrap_or_else(|position| {
+            let entry = (route.name.clone(), Split::default());
+            state.splits.insert(position, entry);
+            position
+        });
+        let part = state.splits[position].1.next(&weights);
+        Some(Arc::clone(&route.parts.get(part)?.service))
+    }
+
+    /// Counts a request for a service.
+    pub fn count(&self, target: &Target) {
+        let mut state = self.state.borrow_mut();
+        if let Some(key) = target.key {
+            state.keys.push((Arc::clone(&target.service), key));
+        }
+        state
+            .budget(&target.service, &self.bounds)
+            .count(clock::now());
+    }
+
+    /// Takes the keys of requests since the last call, for the coordinator.
+    #[must_use]
+    pub fn take_keys(&self) -> Vec<(Arc<str>, u16)> {
+        std::mem::take(&mut self.state.borrow_mut().keys)
+    }
+
+    /// Takes a repeat from a service's budget.
+    #[must_use]
+    pub fn take_repeat(&self, service: &Arc<str>) -> bool {
+        let mut state = self.state.borrow_mut();
+        state.budget(service, &self.bounds).take(clock::now())
+    }
+
+    /// Returns the usual time of a route's requests at an upstream.
+    #[must_use]
+    pub fn mean(&self, route: &crate::config::Route) -> Duration {
+        let state = self.state.borrow();
+        match state
+            .means
+            .binary_search_by(|(name, _)| name.cmp(&route.name))
+        {
+            Ok(position) => Duration::from_secs_f64(state.means[position].1),
+            Err(_) => route.aim.mul_f64(MEAN_OF_AIM),
+        }
+    }
+
+    /// Notes how long a request took at an upstream.
+    pub fn note_latency(&self, route: &crate::config::Route, took: Duration) {
+        let first = route.aim.as_secs_f64() * MEAN_OF_AIM;
+        let mut state = self.state.borrow_mut();
+        let position = state
+            .means
+            .binary_search_by(|(name, _)| name.cmp(&route.name));
+        let position = position.unwrap_or_else(|position| {
+            state.means.insert(position, (route.name.clone(), first));
+            position
+        });
+        let mean = &mut state.means[position].1;
+        *mean += MEAN_WEIGHT * (took.as_secs_f64() - *mean);
+    }
+
+    /// Notes the latency of an answer relative to others, without the passing slowness that the upstream reported.
+    pub fn note_slowness(&self, server: &Server, relative: f64, load: Option<Load>) {
+        // An answer that may have queued at the upstream says more of the load than of the upstream.
+        let Some(load) = load.filter(|load| load.waiting == 0 && load.running < load.slots) else {
+            return;
+        };
+        let pace = load.pace.max(0.1);
+        let mut state = self.state.borrow_mut();
+        if let Some(id) = state.table.id(&server.name) {
+            state.latencies.push((id, relative / pace));
+        }
+    }
+
+    /// Takes the latencies noted since the last call.
+    #[must_use]
+    pub fn take_latencies(&self) -> Vec<(u32, f64)> {
+        std::mem::take(&mut self.state.borrow_mut().latencies)
+    }
+
+    /// Takes latencies that this VM or another one has noted.
+    pub fn observe(&self, latencies: &[(u32, f64)]) {
+        let mut state = self.state.borrow_mut();
+        for (id, relative) in latencies {
+            state.table.observe(*id, *relative);
+        }
+    }
+
+    /// Returns how slow an upstream is in the long run, relative to the others.
+    #[must_use]
+    pub fn slowness(&self, name: &str) -> f64 {
+        self.state.borrow().table.slowness(name)
+    }
+
+    /// Notes the fencing tokens whose owners have their grants before the store's map says so.
+    pub fn set_settled(self: &Rc<Self>, settled: Vec<(u32, u64)>) {
+        let mut state = self.state.borrow_mut();
+        if state.settled == settled {
+            return;
+        }
+        state.settled = settled;
+        drop(state);
+        self.pump();
+    }
+
+    /// Notes the revision of the store that this VM has read up to.
+    pub fn set_revision(&self, revision: u64) {
+        let mut state = self.state.borrow_mut();
+        state.revision = state.revision.max(revision);
+    }
+
+    /// Returns the revision of the store that this VM has read up to.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.state.borrow().revision
+    }
+
+    /// Notes the revision that a peer has read up to.
+    pub fn see_revision(&self, revision: u64) {
+        let mut state = self.state.borrow_mut();
+        state.seen_revision = state.seen_revision.max(revision);
+    }
+
+    /// Returns whether a peer has read more of the store than this VM.
+    #[must_use]
+    pub fn is_behind(&self) -> bool {
+        let state = self.state.borrow();
+        state.seen_revision > state.revision
+    }
+
+    /// Returns the number of waiting requests.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.state.borrow().waiting.entries().len()
+    }
+
+    /// Finds a place at an upstream for a request, waiting for one if that can help.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no upstream can run it in time.
+    pub async fn place(
+        self: &Rc<Self>,
+        target: &Target,
+        tried: &[Arc<str>],
+        urgency: Urgency,
+    ) -> Result<Placed, Unplaced> {
+        let (id, mut go) = {
+            let mut state = self.state.borrow_mut();
+            let now = clock::now();
+            let ahead = state.waiting.ahead(&target.service, urgency.rank);
+            if target.key.is_some() || ahead == 0 {
+                match state.pick(now, target, tried) {
+                    Choice::Send(server) => return Ok(self.placed(server)),
+                    Choice::Nowhere => return Err(Unplaced::Nowhere),
+                    Choice::Busy => {}
+                }
+            }
+            let wait = state.expected_wait(now, target, ahead, urgency.mean);
+            if now + wait > urgency.latest {
+                return Err(Unplaced::Busy {
+                    wait: wait.as_secs_f64(),
+                });
+            }
+            state.next_id += 1;
+            let id = state.next_id;
+            state.waiting.push(Entry {
+                id,
+                service: Arc::clone(&target.service),
+                rank: urgency.rank,
+                latest: urgency.latest,
+            });
+            let (sender, receiver) = oneshot::channel();
+            state.waiters.push(Waiter {
+                id,
+                target: target.clone(),
+                tried: tried.to_vec(),
+                go: sender,
+            });
+            (id, receiver)
+        };
+        let _leave = Leave {
+            vm: Rc::clone(self),
+            id,
+        };
+        match (&mut go).await {
+            Ok(placed) => Ok(placed),
+            // The request was no longer worth sending.
+            Err(_expired) => Err(Unplaced::Busy {
+                wait: urgency.mean.as_secs_f64(),
+            }),
+        }
+    }
+
+    fn placed(self: &Rc<Self>, server: Server) -> Placed {
+        Placed {
+            vm: Rc::clone(self),
+            server,
+            is_ended: false,
+        }
+    }
+
+    fn ended(self: &Rc<Self>, server: &Server, ended: Ended, load: Option<Load>) {
+        let mut state = self.state.borrow_mut();
+        state
+            .table
+            .ended(clock::now(), &server.name, server.born, ended, load);
+        drop(state);
+        self.pump();
+    }
+
+    /// Gives waiting requests the places that have become free, and refuses those that would be too late.
+    pub fn pump(self: &Rc<Self>) {
+        let mut sent = Vec::new();
+        {
+            let mut state = self.state.borrow_mut();
+            let now = clock::now();
+            for entry in state.waiting.expire(now) {
+                state.waiters.retain(|waiter| waiter.id != entry.id);
+            }
+            let entries: Vec<(u64, Arc<str>)> = state
+                .waiting
+                .entries()
+                .iter()
+                .map(|entry| (entry.id, Arc::clone(&entry.service)))
+                .collect();
+            let mut full: Vec<Arc<str>> = Vec::new();
+            for (id, service) in entries {
+                if full.contains(&service) {
+                    continue;
+                }
+                let Some(position) = state.waiters.iter().position(|waiter| waiter.id == id) else {
+                    state.waiting.remove(id);
+                    continue;
+                };
+                let target = state.waiters[position].target.clone();
+                let tried = state.waiters[position].tried.clone();
+                match state.pick(now, &target, &tried) {
+                    Choice::Send(server) => {
+                        let waiter = state.waiters.swap_remove(position);
+                        state.waiting.remove(id);
+                        sent.push((waiter.go, server));
+                    }
+                    Choice::Busy if target.key.is_none() => full.push(service),
+                    Choice::Busy => {}
+                    Choice::Nowhere => {
+                        state.waiters.swap_remove(position);
+                        state.waiting.remove(id);
+                    }
+                }
+            }
+            let waiting = i64::try_from(state.waiting.entries().len()).unwrap_or(i64::MAX);
+            self.metrics.waiting.set(waiting);
+        };
+        for (go, server) in sent {
+            // A caller that has left drops its end, which gives the place back.
+            drop(go.send(self.placed(server)));
+        }
+    }
+
+    /// Looks after waiting requests and idle connections; runs for as long as the process.
+    pub async fn tend(self: Rc<Self>) {
+        let mut swept = clock::now();
+        loop {
+            let is_waiting = self.waiting() > 0;
+            let pause = if is_waiting {
+                WAITING_INTERVAL
+            } else {
+                WAITING_INTERVAL * 5
+            };
+            tokio::time::sleep(pause).await;
+            if is_waiting {
+                self.pump();
+            }
+            if clock::now().saturating_since(swept) >= SWEEP_INTERVAL {
+                swept = clock::now();
+                self.pool.borrow_mut().sweep();
+            }
+        }
+    }
+
+    /// Takes a peer's report.
+    pub fn report(
+        self: &Rc<Self>,
+        peer: u64,
+        running: &[(u32, u32)],
+        demands: Option<&[(u32, f64)]>,
+    ) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        state.table.report(now, peer, running);
+        if let Some(demands) = demands {
+            state.rates.report(now, peer, demands);
+        }
+        let is_waiting = !state.waiting.entries().is_empty();
+        drop(state);
+        if is_waiting {
+            self.pump();
+        }
+    }
+
+    /// Returns the requests under way at upstreams, for the report to the peers.
+    #[must_use]
+    pub fn running(&self) -> Vec<(u32, u32)> {
+        self.state.borrow().table.running()
+    }
+
+    /// Returns the demand of the teams, for the report to the peers.
+    #[must_use]
+    pub fn demands(&self) -> Vec<(u32, f64)> {
+        self.state.borrow_mut().rates.demands(clock::now())
+    }
+}
+
+/// Removes a waiting request whose caller has left.
+#[derive(Debug)]
+struct Leave {
+    vm: Rc<Vm>,
+    id: u64,
+}
+
+impl Drop for Leave {
+    fn drop(&mut self) {
+        let mut state = self.vm.state.borrow_mut();
+        state.waiting.remove(self.id);
+        let id = self.id;
+        state.waiters.retain(|waiter| waiter.id != id);
+    }
+}
+
+impl State {
+    fn upsert(&mut self, now: Instant, server: Server) {
+        let config = self.config.as_ref();
+        let service = config.and_then(|config| config.service(&server.service));
+        let rate = service.map_or(f64::INFINITY, |service| {
+            if service.cold_rate > 0.0 {
+                service.cold_rate
+            } else {
+                f64::INFINITY
+            }
+        });
+        self.table.upsert(now, server, rate);
+    }
+
+    fn map_position(&self, service: &str) -> Result<usize, usize> {
+        self.maps
+            .binary_search_by(|(name, _)| (**name).cmp(service))
+    }
+
+    fn pick(&mut self, now: Instant, target: &Target, tried: &[Arc<str>]) -> Choice {
+        let Some(key) = target.key else {
+            return self
+                .table
+                .choose(now, &target.service, tried, || rand::rng().random());
+        };
+        let Ok(position) = self.map_position(&target.service) else {
+            return Choice::Busy;
+        };
+        match self.maps[position].1.range(key) {
+            Some(range) if range.previous.is_empty() || self.is_settled(target, range.fence) => {
+                let owner = range.owner.clone();
+                match self.table.choose_owner(now, &owner.name, owner.born) {
+                    // The coordinator will name another owner.
+                    Choice::Nowhere => Choice::Busy,
+                    choice => choice,
+                }
+            }
+            _ => Choice::Busy,
+        }
+    }
+
+    fn is_settled(&self, target: &Target, fence: u64) -> bool {
+        let service = team_id(&target.service);
+        self.settled.contains(&(service, fence))
+    }
+
+    /// Returns the owner of a key, if it has its grant.
+    fn owner(&self, service: &str, key: u16) -> Option<Arc<str>> {
+        let position = self.map_position(service).ok()?;
+        let range = self.maps[position].1.range(key)?;
+        Some(Arc::clone(&range.owner.name))
+    }
+
+    /// Returns the time after which a new request for a key can expect a place at the key's owner.
+    fn expected_owner_wait(
+        &self,
+        now: Instant,
+        target: &Target,
+        key: u16,
+        mean: Duration,
+    ) -> Duration {
+        let Some(owner) = self.owner(&target.service, key) else {
+            return Duration::ZERO;
+        };
+        let ahead = self.waiters.iter().filter(|waiter| {
+            let key = waiter
+                .target
+                .key
+                .filter(|_| waiter.target.service == target.service);
+            key.and_then(|key| self.owner(&target.service, key))
+                .as_ref()
+                == Some(&owner)
+        });
+        let server = self.table.servers().find(|server| server.name == owner);
+        let slots = server.map_or(1, |server| server.slots.max(1));
+        let busy = self.table.busy_at(now, &owner);
+        // Requests that wait at other VMs are not known; each VM gets its turn.
+        let queued = u32::try_from(ahead.count()).unwrap_or(u32::MAX);
+        let queued = queued.saturating_add(busy.saturating_sub(slots));
+        let slowness = self.table.slowness(&owner);
+        mean.mul_f64(f64::from(queued) * slowness / f64::from(slots))
+    }
+
+    /// Returns the time after which a new waiting request can expect a place, if this VM gets an equal part of the slots.
+    fn expected_wait(
+        &self,
+        now: Instant,
+        target: &Target,
+        ahead: usize,
+        mean: Duration,
+    ) -> Duration {
+        if let Some(key) = target.key {
+            return self.expected_owner_wait(now, target, key, mean);
+        }
+        let vms = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
+        let slots = f64::from(self.table.slots(&target.service).max(1)) / f64::from(vms);
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        mean.mul_f64(f64::from(ahead) / slots)
+    }
+
+    fn budget(&mut self, service: &Arc<str>, bounds: &Bounds) -> &mut Budget {
+        let position = match self.budgets.binary_search_by(|(name, _)| name.cmp(service)) {
+            Ok(position) => position,
+            Err(position) => {
+                let vms = self.peers.len() + 1;
+                let budget = Budget::new(
+                    bounds.retry_window,
+                    bounds.retry_ratio,
+                    bounds.retry_slack,
+                    vms,
+                );
+                self.budgets.insert(position, (Arc::clone(service), budget));
+                position
+            }
+        };
+        &mut self.budgets[position].1
+    }
+}
+
+/// Returns the short id of a team that reports carry.
+#[must_use]
+pub fn team_id(name: &str) -> u32 {
+    let hash = kumquat_state::hash::key(name.as_bytes());
+    u32::try_from(hash >> 32).unwrap_or(u32::MAX)
+}
--- a/crates/kumquatpond/tests/layers.rs
+++ b/crates/kumquatpond/tests/layers.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 /// Crates of the workspace with their layer; a crate may depend on lower layers only.
-const LAYERS: [(&str, u32); 15] = [
+const LAYERS: [(&str, u32); 17] = [
     ("kumquat-state", 0),
     ("kumquat-coordination", 1),
     ("kumquat-protocol", 2),
@@ -12,12 +12,14 @@
     ("kumquat-settings", 4),
     ("kumquatpond", 4),
     ("kumquat-daemon", 5),
+    ("kumquat-router", 5),
     ("kumquat-entry", 6),
     ("kumquat-dispatch", 6),
     ("kumquatctl", 6),
     // The stand-ins know identifiers only, so that they can't share a fault with the product.
     ("kumquat-standins", 1),
     ("kumquat-spec", 6),
+    ("kumquat-platform", 7),
     ("kumquat-local", 7),
     ("kumquat-demo", 8),
     ("kumquat-bench", 8),
@@ -107,6 +109,10 @@
             Some((entry.file_name().into_string().ok()?, text))
         })
         .collect();
+    // The adapter stands apart from the crates of the product.
+    let adapter = crates.join("../platform/Cargo.toml");
+    let text = fs::read_to_string(adapter).expect("the adapter's manifest can be read");
+    manifests.push(("kumquat-platform".to_owned(), text));
     manifests.sort();
     manifests
 }
