--- a/crates/kumquat-coordination/src/fleet/ownership.rs
+++ b/crates/kumquat-coordination/src/fleet/ownership.rs
@@ -177,7 +177,6 @@
 #[derive(Clone, Debug)]
 struct Grant {
     fence: u64,
-    region: Region,
     renewed: Option<Instant>,
     sent: Option<Instant>,
     hold: Duration,
@@ -380,11 +379,11 @@
     }
 
     /// Reports that a holder gave keys back, with the state that it leaves to the next one.
-    pub fn released(&mut self, holder: &Holder, fence: u64, handover: Option<String>) {
+    pub fn released(&mut self, holder: &Holder, fence: u64, handover: Option<&str>) {
         for recall in &mut self.recalls {
             if recall.fence == fence && recall.holder == *holder {
                 recall.is_done = true;
-                recall.handover.clone_from(&handover);
+                recall.handover = handover.map(str::to_owned);
             }
         }
     }
@@ -507,7 +506,6 @@
         let position = found.unwrap_or_else(|| {
             self.grants.push(Grant {
                 fence: range.fence,
-                region: range.region(),
                 renewed: None,
                 sent: None,
                 hold,
--- a/crates/kumquat-coordination/src/fleet/waiting.rs
+++ b/crates/kumquat-coordination/src/fleet/waiting.rs
@@ -16,6 +16,8 @@
     pub service: Arc<str>,
     /// Rank; lower ranks go first.
     pub rank: u32,
+    /// Last time at which an answer can still come within the route's aim.
+    pub on_time: Instant,
     /// Last time at which it is worth sending.
     pub latest: Instant,
 }
@@ -46,12 +48,22 @@
         self.entries.iter().filter(is_for)
     }
 
-    /// Returns all requests in order.
+    /// Returns all requests by rank.
     #[must_use]
     pub fn entries(&self) -> &[Entry] {
         &self.entries
     }
 
+    /// Returns the requests in the order in which they are to be sent.
+    ///
+    /// Under overload, requests that can only be late would otherwise make all that follow late as well.
+    #[must_use]
+    pub fn ordered(&self, now: Instant) -> Vec<&Entry> {
+        let mut ordered: Vec<&Entry> = self.entries.iter().collect();
+        ordered.sort_by_key(|entry| (entry.rank, entry.on_time < now));
+        ordered
+    }
+
     /// Returns the number of requests that would go before one of this rank.
     #[must_use]
     pub fn ahead(&self, service: &str, rank: u32) -> usize {
--- a/crates/kumquat-coordination/tests/fleet_ownership.rs
+++ b/crates/kumquat-coordination/tests/fleet_ownership.rs
@@ -37,8 +37,11 @@
 
 impl Upstream {
     fn has_seen_more(&self, region: &Region, fence: u64) -> bool {
-        let overlaps = |other: &Region| other.start() <= region.end() && region.start() <= other.end();
-        self.seen.iter().any(|(other, seen)| overlaps(other) && *seen > fence)
+        let overlaps =
+            |other: &Region| other.start() <= region.end() && region.start() <= other.end();
+        self.seen
+            .iter()
+            .any(|(other, seen)| overlaps(other) && *seen > fence)
     }
 
     fn grant(&mut self, region: &Region, fence: u64, until: Instant) -> bool {
@@ -46,7 +49,8 @@
             return false;
         }
         self.seen.push((region.clone(), fence));
-        self.grants.retain(|(other, old, _)| *old != fence || other != region);
+        self.grants
+            .retain(|(other, old, _)| *old != fence || other != region);
         self.grants.push((region.clone(), fence, until));
         true
     }
@@ -176,7 +180,10 @@
     }
 
     fn members(&self) -> Vec<Member> {
-        let registered = self.upstreams.iter().filter(|upstream| upstream.is_registered);
+        let registered = self
+            .upstreams
+            .iter()
+            .filter(|upstream| upstream.is_registered);
         registered
             .map(|upstream| Member {
                 holder: upstream.holder.clone(),
@@ -208,7 +215,7 @@
         let mut actions = Vec::new();
         coordinator.tick(self.now, &mut actions);
         for action in actions {
-                self.act(&mut coordinator, action);
+            self.act(&mut coordinator, action);
         }
         self.leader = Some((coordinator, until));
     }
@@ -251,7 +258,10 @@
         let is_lost = self.chance(12);
         let delay = self.random.random_range(500..12_000);
         let now = self.now;
-        let found = self.upstreams.iter().position(|upstream| upstream.holder.name == holder.name);
+        let found = self
+            .upstreams
+            .iter()
+            .position(|upstream| upstream.holder.name == holder.name);
         let Some(index) = found else {
             return Err(Failed::Silent);
         };
@@ -278,7 +288,10 @@
         let (Action::Grant { holder, .. } | Action::Release { holder, .. }) = action else {
             return Ok(());
         };
-        let found = self.upstreams.iter_mut().find(|upstream| upstream.holder == *holder);
+        let found = self
+            .upstreams
+            .iter_mut()
+            .find(|upstream| upstream.holder == *holder);
         let Some(upstream) = found.filter(|upstream| upstream.is_up) else {
             return Err(Failed::Silent);
         };
@@ -292,7 +305,11 @@
                 // The upstream's clock may be two percent slow.
                 let until = arrived + hold.mul_f64(1.02);
                 let is_taken = until <= self.now || upstream.grant(region, *fence, until);
-                if is_taken { Ok(()) } else { Err(Failed::Outdated) }
+                if is_taken {
+                    Ok(())
+                } else {
+                    Err(Failed::Outdated)
+                }
             }
             Action::Release { region, fence, .. } => {
                 upstream.release(region, *fence);
@@ -332,7 +349,9 @@
                 }
                 let name = |owner: &str| owner.split('/').next().map(str::to_owned);
                 if name(owner) != name(second) {
-                    return Some(format!("{owner} holds {region:?}, {second} holds {other:?}"));
+                    return Some(format!(
+                        "{owner} holds {region:?}, {second} holds {other:?}"
+                    ));
                 }
             }
         }
@@ -367,7 +386,11 @@
             assert_eq!(double, None, "seed {seed}, step {step}");
         }
 
-        assert!(world.changes > 10, "seed {seed}: only {} changes", world.changes);
+        assert!(
+            world.changes > 10,
+            "seed {seed}: only {} changes",
+            world.changes
+        );
     }
 }
 
@@ -388,7 +411,7 @@
         coordinator.tick(world.now, &mut actions);
         for action in actions {
             if let Action::Release { holder, fence, .. } = &action {
-                coordinator.released(holder, *fence, Some("left".to_owned()));
+                coordinator.released(holder, *fence, Some("left"));
             } else {
                 settle(&mut world, &mut coordinator, &action);
             }
--- a/crates/kumquat-router/src/coordination.rs
+++ b/crates/kumquat-router/src/coordination.rs
@@ -51,6 +51,7 @@
     coordinators: RefCell<Vec<(Arc<str>, Coordinator)>>,
     valid_until: Cell<Instant>,
     is_store_lost: Cell<bool>,
+    committed_at: Cell<u64>,
     commits: UnboundedSender<Commit>,
     // Upstreams as they were last seen in the registry; one whose entry has lapsed may still hold keys.
     known: RefCell<Vec<Server>>,
@@ -65,6 +66,7 @@
             coordinators: RefCell::default(),
             valid_until: Cell::new(Instant::ORIGIN),
             is_store_lost: Cell::new(false),
+            committed_at: Cell::new(0),
             commits,
             known: RefCell::default(),
         })
@@ -130,6 +132,17 @@
         self.with(service, |coordinator| coordinator.committed(map));
     }
 
+    /// Notes the revision of the store at which owners were last written.
+    pub fn note_commit(&self, revision: u64) {
+        self.committed_at.set(revision);
+    }
+
+    /// Returns the revision of the store at which this VM last wrote owners.
+    #[must_use]
+    pub fn committed_at(&self) -> u64 {
+        self.committed_at.get()
+    }
+
     /// Reports that owners could not be written, or that it is not known whether they were.
     pub fn not_committed(&self, service: &Arc<str>) {
         self.with(service, Coordinator::not_committed);
@@ -275,7 +288,7 @@
                     this.with(&service, |coordinator| match result {
                         Ok(answer) => {
                             let handover = answer.head.headers.text(this.vm.dialect.handover);
-                            coordinator.released(&holder, fence, handover.map(str::to_owned));
+                            coordinator.released(&holder, fence, handover);
                         }
                         Err(failed) => coordinator.not_released(clock::now(), &holder, failed),
                     });
--- a/crates/kumquat-router/src/gateway.rs
+++ b/crates/kumquat-router/src/gateway.rs
@@ -18,6 +18,11 @@
 /// Part of a route's usual time that must be left for a request to be worth sending.
 const LEAST_OF_MEAN: f64 = 0.6;
 
+/// Longest expected wait that a request is admitted with, in parts of its route's aim.
+///
+/// Under overload a longer queue serves no more requests, it only serves all of them late.
+const PATIENCE: f64 = 1.0;
+
 /// Time that must be left for a request to be worth sending, whatever its route.
 const LEAST_TIME: Duration = Duration::from_millis(5);
 
@@ -300,8 +305,11 @@
         if started > latest {
             return Err(self.refusal(story, "too little time left", mean));
         }
+        let aim = self.incoming.arrived + self.route.aim;
         let urgency = Urgency {
             rank: self.rank,
+            on_time: aim - mean,
+            patience: self.route.aim.mul_f64(PATIENCE),
             latest,
             mean,
         };
--- a/crates/kumquat-router/src/peers.rs
+++ b/crates/kumquat-router/src/peers.rs
@@ -169,6 +169,7 @@
         let mut number = 0;
         let mut last_running = Vec::new();
         let mut last_settled = None;
+        let mut last_commit = 0;
         let mut last_full = clock::now();
         loop {
             let peers = self.vm.peers();
@@ -181,7 +182,9 @@
             if let Some(settled) = &settled {
                 self.vm.set_settled(settled.clone());
             }
-            let is_news = settled != last_settled;
+            let commit = self.coordination.committed_at();
+            let is_news = settled != last_settled || commit != last_commit;
+            last_commit = commit;
             if !is_full && running == last_running && !is_news {
                 continue;
             }
@@ -195,10 +198,10 @@
             if is_full {
                 last_full = clock::now();
                 report.demands = Some(self.demands());
-                report.revision = Some(self.vm.revision());
             }
             if is_full || is_news {
                 report.settled.clone_from(&settled);
+                report.revision = Some(self.vm.revision().max(commit));
             }
             last_settled = settled;
             last_running = running;
--- a/crates/kumquat-router/src/vm.rs
+++ b/crates/kumquat-router/src/vm.rs
@@ -26,6 +26,12 @@
 /// Interval at which idle connections are looked through.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Longest time that a planned move of keys takes; keys that are longer without an owner wait for a grant to run out.
+const MOVE_TIME: Duration = Duration::from_millis(400);
+
+/// Time that keys without an owner are expected to be so, which is longer than callers wait.
+const OWNERLESS_WAIT: Duration = Duration::from_secs(1);
+
 /// Weight of a new latency in a route's mean.
 const MEAN_WEIGHT: f64 = 0.05;
 
@@ -84,6 +90,8 @@
     pub metrics: Metrics,
     /// Open connections to upstreams.
     pub pool: RefCell<Pool>,
+    /// Told when a peer has read more of the store than this VM.
+    pub behind: Notify,
     /// Told when the process is to stop.
     pub stopping: Notify,
     state: RefCell<State>,
@@ -112,6 +120,8 @@
     settled: Vec<(u32, u64)>,
     revision: u64,
     seen_revision: u64,
+    // Ranges of keys without an owner that has its grant, with the time since when: service, first key and token.
+    ownerless: Vec<(Arc<str>, u16, Instant)>,
 }
 
 #[derive(Debug)]
@@ -173,6 +183,10 @@
 pub struct Urgency {
     /// Rank, the lowest first.
     pub rank: u32,
+    /// Last time at which an answer can still come within the route's aim.
+    pub on_time: Instant,
+    /// Longest wait that is worth while.
+    pub patience: Duration,
     /// Last time at which it is worth sending.
     pub latest: Instant,
     /// Time that a request of its route usually takes.
@@ -200,6 +214,7 @@
             journal,
             metrics,
             pool: RefCell::default(),
+            behind: Notify::new(),
             stopping: Notify::new(),
             state: RefCell::new(state),
             is_stopping: Cell::new(false),
@@ -540,6 +555,11 @@
     pub fn see_revision(&self, revision: u64) {
         let mut state = self.state.borrow_mut();
         state.seen_revision = state.seen_revision.max(revision);
+        let is_behind = state.seen_revision > state.revision;
+        drop(state);
+        if is_behind {
+            self.behind.notify_waiters();
+        }
     }
 
     /// Returns whether a peer has read more of the store than this VM.
@@ -578,7 +598,7 @@
                 }
             }
             let wait = state.expected_wait(now, target, ahead, urgency.mean);
-            if now + wait > urgency.latest {
+            if now + wait > urgency.latest || wait > urgency.patience {
                 return Err(Unplaced::Busy {
                     wait: wait.as_secs_f64(),
                 });
@@ -589,6 +609,7 @@
                 id,
                 service: Arc::clone(&target.service),
                 rank: urgency.rank,
+                on_time: urgency.on_time,
                 latest: urgency.latest,
             });
             let (sender, receiver) = oneshot::channel();
@@ -641,8 +662,8 @@
             }
             let entries: Vec<(u64, Arc<str>)> = state
                 .waiting
-                .entries()
-                .iter()
+                .ordered(now)
+                .into_iter()
                 .map(|entry| (entry.id, Arc::clone(&entry.service)))
                 .collect();
             let mut full: Vec<Arc<str>> = Vec::new();
@@ -780,16 +801,55 @@
         match self.maps[position].1.range(key) {
             Some(range) if range.previous.is_empty() || self.is_settled(target, range.fence) => {
                 let owner = range.owner.clone();
-                match self.table.choose_owner(now, &owner.name, owner.born) {
+                let first = range.first;
+                let choice = self.table.choose_owner(now, &owner.name, owner.born);
+                self.note_owner(now, target, first, choice != Choice::Nowhere);
+                match choice {
                     // The coordinator will name another owner.
                     Choice::Nowhere => Choice::Busy,
                     choice => choice,
                 }
             }
-            _ => Choice::Busy,
+            Some(range) => {
+                let first = range.first;
+                self.note_owner(now, target, first, false);
+                Choice::Busy
+            }
+            None => Choice::Busy,
         }
     }
 
+    /// Notes whether the owner of a range of keys can be used.
+    fn note_owner(&mut self, now: Instant, target: &Target, first: u16, is_usable: bool) {
+        let find =
+            |entry: &(Arc<str>, u16, Instant)| (&entry.0, entry.1).cmp(&(&target.service, first));
+        match self.ownerless.binary_search_by(find) {
+            Ok(position) if is_usable => {
+                self.ownerless.remove(position);
+            }
+            Err(position) if !is_usable => {
+                let entry = (Arc::clone(&target.service), first, now);
+                self.ownerless.insert(position, entry);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns whether the keys of a range have had no usable owner for longer than a move takes.
+    fn is_ownerless(&self, now: Instant, target: &Target, key: u16) -> bool {
+        let Ok(position) = self.map_position(&target.service) else {
+            return false;
+        };
+        let Some(range) = self.maps[position].1.range(key) else {
+            return false;
+        };
+        let find = |entry: &(Arc<str>, u16, Instant)| {
+            (&entry.0, entry.1).cmp(&(&target.service, range.first))
+        };
+        let found = self.ownerless.binary_search_by(find);
+        found.is_ok_and(|position| now.saturating_since(self.ownerless[position].2) > MOVE_TIME)
+    }
+
     fn is_settled(&self, target: &Target, fence: u64) -> bool {
         let service = team_id(&target.service);
         self.settled.contains(&(service, fence))
@@ -810,6 +870,9 @@
         key: u16,
         mean: Duration,
     ) -> Duration {
+        if self.is_ownerless(now, target, key) {
+            return OWNERLESS_WAIT;
+        }
         let Some(owner) = self.owner(&target.service, key) else {
             return Duration::ZERO;
         };
