--- a/crates/kumquat-router/src/gateway.rs
+++ b/crates/kumquat-router/src/gateway.rs
@@ -21,7 +21,7 @@
 /// Longest expected wait that a request is admitted with, in parts of its route's aim.
 ///
 /// Under overload a longer queue serves no more requests, it only serves all of them late.
-const PATIENCE: f64 = 1.0;
+const PATIENCE: f64 = 0.4;
 
 /// Time that must be left for a request to be worth sending, whatever its route.
 const LEAST_TIME: Duration = Duration::from_millis(5);
