--- a/crates/kumquat-coordination/tests/fleet_ownership.rs
+++ b/crates/kumquat-coordination/tests/fleet_ownership.rs
@@ -215,13 +215,13 @@
         let mut actions = Vec::new();
         coordinator.tick(self.now, &mut actions);
         for action in actions {
-            self.act(&mut coordinator, action);
+            self.act(&mut coordinator, &action);
         }
         self.leader = Some((coordinator, until));
     }
 
-    fn act(&mut self, coordinator: &mut Coordinator, action: Action) {
-        match &action {
+    fn act(&mut self, coordinator: &mut Coordinator, action: &Action) {
+        match action {
             Action::Commit(map) => {
                 assert!(map.is_valid());
                 match self.random.random_range(0..10) {
@@ -240,13 +240,13 @@
                 self.changes += 1;
             }
             Action::Grant { holder, fence, .. } => {
-                let result = self.order(&action, holder);
+                let result = self.order(action, holder);
                 match result {
                     Ok(()) => coordinator.granted(self.now, holder, *fence),
                     Err(failed) => coordinator.not_granted(self.now, holder, *fence, failed),
                 }
             }
-            Action::Release { holder, fence, .. } => match self.order(&action, holder) {
+            Action::Release { holder, fence, .. } => match self.order(action, holder) {
                 Ok(()) => coordinator.released(holder, *fence, None),
                 Err(failed) => coordinator.not_released(self.now, holder, failed),
             },
--- a/crates/kumquat-coordination/tests/fleet_rate.rs
+++ b/crates/kumquat-coordination/tests/fleet_rate.rs
@@ -35,9 +35,9 @@
         if step % 25 == 0 {
             for from in 0..fleet.len() {
                 let demands = fleet[from].demands(now);
-                for to in 0..fleet.len() {
+                for (to, rates) in fleet.iter_mut().enumerate() {
                     if from != to && hears(to, from, step) {
-                        fleet[to].report(now, from as u64, &demands);
+                        rates.report(now, from as u64, &demands);
                     }
                 }
             }
--- /dev/null
+++ b/crates/kumquat-coordination/tests/fleet_table.rs
@@ -0,0 +1,266 @@
+//! Guards the choice of upstreams by VMs that share them, and the order of waiting requests.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquat_coordination::fleet::{Choice, Ended, Entry, Load, Server, Table, Waiting};
+use kumquat_state::clock::Instant;
+
+const SERVICE: &str = "bench";
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(100_000 + millis)
+}
+
+fn server(name: &str, data_centre: &str) -> Server {
+    Server {
+        name: Arc::from(name),
+        born: 1,
+        service: Arc::from(SERVICE),
+        data_centre: Arc::from(data_centre),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        slots: 2,
+        is_draining: false,
+        cold_for: Duration::ZERO,
+    }
+}
+
+/// Returns a table of one of `vms` VMs with these upstreams, which bear 11 requests a second while cold.
+fn table(vms: usize, servers: &[Server]) -> Table {
+    let mut table = Table::default();
+    table.set_vms(vms);
+    table.set_home("dc-a");
+    for server in servers {
+        table.upsert(at(0), server.clone(), 11.0);
+    }
+    table
+}
+
+fn choose(table: &mut Table, now: Instant) -> Option<String> {
+    match table.choose(now, SERVICE, &[], || 0.0) {
+        Choice::Send(server) => Some(server.name.to_string()),
+        Choice::Busy | Choice::Nowhere => None,
+    }
+}
+
+fn id(name: &str) -> u32 {
+    let table = table(1, &[server(name, "dc-a")]);
+    table.id(name).expect("it is in the table")
+}
+
+/// Guards against VMs that all send to the same upstream because each knows only its own requests.
+#[test]
+fn requests_of_other_vms_count() {
+    let mut table = table(2, &[server("one", "dc-a"), server("two", "dc-a")]);
+    table.report(at(0), 7, &[(id("one"), 3)]);
+
+    let chosen = choose(&mut table, at(1));
+
+    assert_eq!(chosen.as_deref(), Some("two"));
+}
+
+/// Guards against an upstream that stays avoided because of a VM that has died.
+#[test]
+fn reports_of_a_silent_vm_are_forgotten() {
+    let mut table = table(2, &[server("one", "dc-a")]);
+    table.report(at(0), 7, &[(id("one"), 9)]);
+
+    let early = choose(&mut table, at(500));
+    let late = choose(&mut table, at(1_100));
+
+    assert_eq!((early, late.as_deref()), (None, Some("one")));
+}
+
+/// Guards against more requests in a second than a cold upstream bears, from all VMs together.
+#[test]
+fn a_cold_upstream_gets_what_it_bears_from_all_vms() {
+    let mut cold = server("one", "dc-a");
+    cold.cold_for = Duration::from_secs(10);
+    for vms in [1, 3, 9] {
+        let mut tables: Vec<Table> = (0..vms).map(|_| table(vms, &[cold.clone()])).collect();
+        let mut sent = Vec::new();
+
+        for step in 0..400 {
+            let now = at(step * 10);
+            let mut count = 0;
+            for table in &mut tables {
+                while let Choice::Send(server) = table.choose(now, SERVICE, &[], || 0.0) {
+                    let ended = Ended::Answered { relative: 1.0 };
+                    table.ended(now, &server.name, server.born, ended, None);
+                    count += 1;
+                }
+            }
+            sent.push(count);
+        }
+
+        // The bound is 11 times 1.5, and 5.
+        let most = sent
+            .windows(100)
+            .map(|second| second.iter().sum::<u32>())
+            .max();
+        assert!(most <= Some(21), "{vms} VMs: {most:?} in one second");
+        assert!(
+            sent.iter().sum::<u32>() >= 36,
+            "{vms} VMs: {} in all",
+            sent.iter().sum::<u32>()
+        );
+    }
+}
+
+/// Guards against upstreams that come back from a closed data centre cold and get full load.
+#[test]
+fn upstreams_of_a_reopened_data_centre_count_as_cold() {
+    let mut table = table(1, &[server("one", "dc-a"), server("two", "dc-b")]);
+    let closed: Vec<Arc<str>> = vec![Arc::from("dc-a")];
+
+    table.set_closed(at(0), &closed, Duration::from_secs(3));
+    let while_closed = choose(&mut table, at(1));
+    table.set_closed(at(10), &[], Duration::from_secs(3));
+
+    assert_eq!(while_closed.as_deref(), Some("two"));
+    assert_eq!(table.cold_until("one"), at(3_010));
+    assert!(table.cold_until("two") <= at(0));
+}
+
+/// Guards against requests to an upstream that drains, or has another life than the owner of the keys.
+#[test]
+fn upstreams_that_may_not_run_a_request_are_not_chosen() {
+    let mut draining = server("one", "dc-a");
+    draining.is_draining = true;
+    let mut table = table(1, &[draining, server("two", "dc-a")]);
+
+    assert_eq!(choose(&mut table, at(1)).as_deref(), Some("two"));
+    assert_eq!(table.choose_owner(at(1), "one", 1), Choice::Nowhere);
+    assert_eq!(table.choose_owner(at(1), "two", 2), Choice::Nowhere);
+    assert!(matches!(
+        table.choose_owner(at(1), "two", 1),
+        Choice::Send(_)
+    ));
+}
+
+/// Guards against an upstream that takes no connections being tried with each request.
+#[test]
+fn an_unreachable_upstream_is_avoided_and_tried_again() {
+    let mut table = table(1, &[server("one", "dc-a")]);
+    choose(&mut table, at(0));
+    table.ended(at(0), "one", 1, Ended::Unreachable, None);
+
+    let early = choose(&mut table, at(100));
+    let later = choose(&mut table, at(400));
+
+    assert_eq!((early, later.as_deref()), (None, Some("one")));
+}
+
+/// Guards against an upstream that fails fast being preferred because it looks idle, or never being tried again.
+#[test]
+fn an_upstream_that_fails_requests_is_chosen_less() {
+    let mut table = table(1, &[server("grey", "dc-a"), server("sound", "dc-a")]);
+    let varied = std::cell::Cell::new(0.0);
+    let noise = || {
+        varied.set((varied.get() + 0.37) % 1.0);
+        varied.get()
+    };
+    let mut grey = 0;
+
+    for step in 0..1_000 {
+        let now = at(step * 20);
+        if let Choice::Send(server) = table.choose(now, SERVICE, &[], noise) {
+            let is_grey = &*server.name == "grey";
+            grey += u32::from(is_grey);
+            let ended = if is_grey {
+                Ended::Shed
+            } else {
+                Ended::Answered { relative: 1.0 }
+            };
+            table.ended(now, &server.name, 1, ended, None);
+        }
+    }
+
+    assert!(grey < 100, "{grey} of 1,000 went to the failing upstream");
+    assert!(grey >= 2, "the failing upstream is never tried again");
+}
+
+/// Guards against a straggler that gets as much as the others.
+#[test]
+fn a_slow_upstream_is_chosen_less() {
+    let mut table = table(1, &[server("slow", "dc-a"), server("usual", "dc-a")]);
+    let mut slow = 0;
+
+    for step in 0..200 {
+        let now = at(step * 20);
+        if let Choice::Send(server) = table.choose(now, SERVICE, &[], || 0.0) {
+            let is_slow = &*server.name == "slow";
+            slow += u32::from(is_slow);
+            let relative = if is_slow { 6.0 } else { 1.0 };
+            table.ended(now, &server.name, 1, Ended::Answered { relative }, None);
+        }
+    }
+
+    assert!(slow < 20, "{slow} of 200 went to the slow upstream");
+}
+
+/// Guards against an upstream's own figures being ignored when the VMs' reports are missing.
+#[test]
+fn a_fresh_load_of_the_upstream_counts() {
+    let mut table = table(1, &[server("one", "dc-a"), server("two", "dc-a")]);
+    choose(&mut table, at(0));
+    let load = Load {
+        running: 2,
+        waiting: 2,
+        slots: 2,
+        pace: 1.0,
+    };
+    table.ended(
+        at(0),
+        "one",
+        1,
+        Ended::Answered { relative: 1.0 },
+        Some(load),
+    );
+
+    let fresh = choose(&mut table, at(10));
+
+    assert_eq!(fresh.as_deref(), Some("two"));
+}
+
+fn entry(id: u64, rank: u32, on_time: u64, latest: u64) -> Entry {
+    Entry {
+        id,
+        service: Arc::from(SERVICE),
+        rank,
+        on_time: at(on_time),
+        latest: at(latest),
+    }
+}
+
+fn ids(entries: &[&Entry]) -> Vec<u64> {
+    entries.iter().map(|entry| entry.id).collect()
+}
+
+/// Guards against urgent work behind other work, and against late requests that make all others late.
+#[test]
+fn urgent_requests_go_first_and_late_ones_last_within_their_rank() {
+    let mut waiting = Waiting::default();
+    waiting.push(entry(1, 2, 500, 900));
+    waiting.push(entry(2, 1, 50, 900));
+    waiting.push(entry(3, 1, 500, 900));
+    waiting.push(entry(4, 0, 10, 900));
+
+    let ordered = ids(&waiting.ordered(at(100)));
+
+    assert_eq!(ordered, [4, 3, 2, 1]);
+}
+
+/// Guards against requests that wait until their callers have given up.
+#[test]
+fn requests_that_are_too_late_leave_the_queue() {
+    let mut waiting = Waiting::default();
+    waiting.push(entry(1, 1, 50, 100));
+    waiting.push(entry(2, 1, 50, 300));
+
+    let expired = waiting.expire(at(200));
+
+    assert_eq!(ids(&expired.iter().collect::<Vec<_>>()), [1]);
+    assert_eq!(waiting.ahead(SERVICE, 1), 1);
+    assert_eq!(waiting.ahead(SERVICE, 0), 0);
+}
