--- a/crates/kumquat-coordination/src/fleet/table.rs
+++ b/crates/kumquat-coordination/src/fleet/table.rs
@@ -42,8 +42,10 @@
 const AVOID_FIRST: Duration = Duration::from_millis(300);
 const AVOID_LAST: Duration = Duration::from_secs(2);
 
-/// Part of the limit of a cold upstream that is held in its buckets, in requests over all VMs.
-const COLD_BURST: f64 = 3.0;
+/// VMs that may send to the same cold upstream.
+///
+/// Each may send one request at once, so that more VMs would exceed the limit by their number alone.
+const COLD_VMS: u32 = 9;
 
 /// An upstream as the registry describes it.
 #[derive(Clone, Debug, PartialEq)]
@@ -145,6 +147,7 @@
     closed: Vec<Arc<str>>,
     home: Option<Arc<str>>,
     vms: u32,
+    rank: u32,
 }
 
 impl Table {
@@ -153,9 +156,16 @@
         self.home = Some(Arc::from(home));
     }
 
-    /// Sets the number of VMs that share the upstreams.
-    pub fn set_vms(&mut self, vms: usize) {
+    /// Sets the number of VMs that share the upstreams and the position of this one among them.
+    pub fn set_vms(&mut self, vms: usize, rank: usize) {
         self.vms = u32::try_from(vms.max(1)).unwrap_or(u32::MAX);
+        self.rank = u32::try_from(rank).unwrap_or(u32::MAX);
+    }
+
+    /// Returns whether this VM is one of those that may send to the upstream while it is cold.
+    fn may_warm(&self, row: &Row) -> bool {
+        let position = (u64::from(row.id) + u64::from(self.rank)) % u64::from(self.vms.max(1));
+        position < u64::from(COLD_VMS)
     }
 
     /// Sets the data centres that get nothing, sorted, and turns upstreams of reopened ones cold for `cold_for`.
@@ -310,12 +320,13 @@
             }
             is_possible = true;
             let busy = self.busy(now, index);
+            let may_warm = self.may_warm(row);
             let is_home = self.home.as_ref() == Some(&row.server.data_centre);
             let row = &mut self.rows[index];
             if busy >= row.server.slots + QUEUED_AT_UPSTREAM || row.avoided_until > now {
                 continue;
             }
-            if row.is_cold(now) && row.cold.wait_at(now) > 0.0 {
+            if row.is_cold(now) && (!may_warm || row.cold.wait_at(now) > 0.0) {
                 continue;
             }
             let distance = if is_home { 0.0 } else { DISTANCE_COST };
@@ -342,9 +353,11 @@
             return Choice::Nowhere;
         }
         let busy = self.busy(now, index);
+        let may_warm = self.may_warm(row);
         let row = &mut self.rows[index];
         let is_full = busy >= row.server.slots + QUEUED_AT_UPSTREAM;
-        if is_full || row.avoided_until > now || (row.is_cold(now) && row.cold.wait_at(now) > 0.0) {
+        let is_limited = row.is_cold(now) && (!may_warm || row.cold.wait_at(now) > 0.0);
+        if is_full || row.avoided_until > now || is_limited {
             return Choice::Busy;
         }
         self.take(now, index)
@@ -488,8 +501,8 @@
 }
 
 fn cold_bucket(now: Instant, rate: f64, vms: u32) -> Bucket {
-    let vms = f64::from(vms.max(1));
-    Bucket::new(now, rate / vms, (COLD_BURST / vms).max(1.0))
+    let vms = f64::from(vms.clamp(1, COLD_VMS));
+    Bucket::new(now, rate / vms, 1.0)
 }
 
 /// Returns the short id of an upstream's life that reports carry.
--- a/crates/kumquat-coordination/tests/fleet_table.rs
+++ b/crates/kumquat-coordination/tests/fleet_table.rs
@@ -28,7 +28,7 @@
 /// Returns a table of one of `vms` VMs with these upstreams, which bear 11 requests a second while cold.
 fn table(vms: usize, servers: &[Server]) -> Table {
     let mut table = Table::default();
-    table.set_vms(vms);
+    table.set_vms(vms, 0);
     table.set_home("dc-a");
     for server in servers {
         table.upsert(at(0), server.clone(), 11.0);
@@ -76,8 +76,13 @@
 fn a_cold_upstream_gets_what_it_bears_from_all_vms() {
     let mut cold = server("one", "dc-a");
     cold.cold_for = Duration::from_secs(10);
-    for vms in [1, 3, 9] {
-        let mut tables: Vec<Table> = (0..vms).map(|_| table(vms, &[cold.clone()])).collect();
+    for vms in [1, 3, 9, 86] {
+        let tables = (0..vms).map(|rank| {
+            let mut table = table(vms, &[cold.clone()]);
+            table.set_vms(vms, rank);
+            table
+        });
+        let mut tables: Vec<Table> = tables.collect();
         let mut sent = Vec::new();
 
         for step in 0..400 {
--- a/crates/kumquat-dispatch/src/metrics.rs
+++ b/crates/kumquat-dispatch/src/metrics.rs
@@ -1,4 +1,4 @@
-//! The `metrics` module provides the counters of a dispatch process; `docs/operations.md` explains each.
+//! The `metrics` module provides the counters of a dispatch process; `docs/OPERATIONS.md` explains each.
 
 use prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder};
 
--- a/crates/kumquat-entry/src/metrics.rs
+++ b/crates/kumquat-entry/src/metrics.rs
@@ -1,4 +1,4 @@
-//! The `metrics` module provides the entry's counters; `docs/operations.md` explains each.
+//! The `metrics` module provides the entry's counters; `docs/OPERATIONS.md` explains each.
 
 use prometheus::{
     Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
--- a/crates/kumquat-router/src/coordination.rs
+++ b/crates/kumquat-router/src/coordination.rs
@@ -53,8 +53,6 @@
     is_store_lost: Cell<bool>,
     committed_at: Cell<u64>,
     commits: UnboundedSender<Commit>,
-    // Upstreams as they were last seen in the registry; one whose entry has lapsed may still hold keys.
-    known: RefCell<Vec<Server>>,
 }
 
 impl Coordination {
@@ -68,7 +66,6 @@
             is_store_lost: Cell::new(false),
             committed_at: Cell::new(0),
             commits,
-            known: RefCell::default(),
         })
     }
 
@@ -81,7 +78,7 @@
     /// Extends the lease, or gains it.
     pub fn lead(&self, until: Instant) {
         if !self.is_leading() {
-            info!(self.vm.log, "coordinator's lease gained"; "vm" => &self.vm.identity.name);
+            info!(self.vm.log, "coordinator's lease gained");
             self.coordinators.borrow_mut().clear();
         }
         self.valid_until.set(self.valid_until.get().max(until));
@@ -90,7 +87,7 @@
     /// Gives the lease up.
     pub fn resign(&self) {
         if self.is_leading() {
-            info!(self.vm.log, "coordinator's lease lost"; "vm" => &self.vm.identity.name);
+            info!(self.vm.log, "coordinator's lease lost");
         }
         self.valid_until.set(Instant::ORIGIN);
         self.coordinators.borrow_mut().clear();
@@ -213,13 +210,6 @@
 
     fn members(&self, now: Instant, service: &str) -> Vec<Member> {
         let servers = self.vm.servers(service);
-        let mut known = self.known.borrow_mut();
-        for (server, ..) in &servers {
-            match known.binary_search_by(|other| other.name.cmp(&server.name)) {
-                Ok(position) => known[position] = server.clone(),
-                Err(position) => known.insert(position, server.clone()),
-            }
-        }
         servers
             .into_iter()
             .map(|(server, cold_until, is_open)| Member {
@@ -307,12 +297,7 @@
         call: Call,
         limit: Duration,
     ) -> Result<Answer, Failed> {
-        let server = {
-            let known = self.known.borrow();
-            let position = known.binary_search_by(|server| server.name.cmp(&holder.name));
-            position.ok().map(|position| known[position].clone())
-        };
-        let result = match server {
+        let result = match self.vm.server(&holder.name) {
             None => Err((Failed::Silent, "never registered".to_owned())),
             Some(server) if server.born != holder.born => {
                 Err((Failed::Dead, "another life is registered".to_owned()))
--- a/crates/kumquat-router/src/gateway.rs
+++ b/crates/kumquat-router/src/gateway.rs
@@ -239,6 +239,8 @@
         deadline: incoming.arrived + waits,
         signals,
     };
+    line.service = request.target.service.to_string();
+    line.key = request.target.key;
     vm.count(&request.target);
     match request.run(story).await {
         Ok(reply) => {
--- a/crates/kumquat-router/src/journal.rs
+++ b/crates/kumquat-router/src/journal.rs
@@ -24,7 +24,9 @@
     /// Team, if the request has one.
     pub team: &'a str,
     /// Service that the request was for.
-    pub service: &'a str,
+    pub service: String,
+    /// Key number, if the service has owners of keys.
+    pub key: Option<u16>,
     /// Status that the caller gets.
     pub status: u16,
     /// Why.
@@ -81,7 +83,8 @@
             return;
         }
         info!(self.log, "request";
-            "id" => line.id, "route" => line.route, "team" => line.team, "service" => line.service,
+            "id" => line.id, "route" => line.route, "team" => line.team, "service" => &line.service,
+            "key" => line.key,
             "status" => line.status, "reason" => line.reason, "upstreams" => &line.upstreams,
             "took_ms" => line.took_ms, "waited_ms" => line.waited_ms, "deadline_ms" => line.deadline_ms,
             "version" => line.version, "waiting" => line.waiting);
--- a/crates/kumquat-router/src/metrics.rs
+++ b/crates/kumquat-router/src/metrics.rs
@@ -58,37 +58,47 @@
             Ok::<_, prometheus::Error>(gauge)
         };
         Ok(Self {
-            answers: counter("kumquat_answers_total", "Answers to callers.", &["outcome"])?,
+            answers: counter(
+                "kumquat_vm_answers_total",
+                "Answers to callers.",
+                &["outcome"],
+            )?,
             attempts: counter(
-                "kumquat_attempts_total",
+                "kumquat_vm_attempts_total",
                 "Ends of requests at upstreams.",
                 &["outcome"],
             )?,
             orders: counter(
-                "kumquat_orders_total",
+                "kumquat_vm_orders_total",
                 "Grants and releases of keys.",
                 &["kind", "outcome"],
             )?,
             store: counter(
-                "kumquat_store_calls_total",
+                "kumquat_vm_store_calls_total",
                 "Calls to the store.",
                 &["kind", "outcome"],
             )?,
             omitted: counter(
-                "kumquat_log_lines_omitted_total",
+                "kumquat_vm_log_lines_omitted_total",
                 "Log lines that were left out to bound the volume.",
                 &["kind"],
             )?,
             latency: histogram(
-                "kumquat_request_seconds",
+                "kumquat_vm_request_seconds",
                 "Time from a request's arrival to its answer.",
             )?,
             wait: histogram(
-                "kumquat_wait_seconds",
+                "kumquat_vm_wait_seconds",
                 "Time for which a request waits for room at an upstream.",
             )?,
-            waiting: gauge("kumquat_waiting_requests", "Requests that wait for room.")?,
-            connections: gauge("kumquat_caller_connections", "Open connections of callers.")?,
+            waiting: gauge(
+                "kumquat_vm_waiting_requests",
+                "Requests that wait for room.",
+            )?,
+            connections: gauge(
+                "kumquat_vm_caller_connections",
+                "Open connections of callers.",
+            )?,
             registry,
         })
     }
--- a/crates/kumquat-router/src/vm.rs
+++ b/crates/kumquat-router/src/vm.rs
@@ -1,6 +1,7 @@
 //! The `vm` module provides what a VM knows and has under way, which its tasks share on one thread.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -26,6 +27,9 @@
 /// Interval at which idle connections are looked through.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Upstreams that have left the registry and whose addresses are remembered.
+const DEPARTED_LIMIT: usize = 64;
+
 /// Longest time that a planned move of keys takes; keys that are longer without an owner wait for a grant to run out.
 const MOVE_TIME: Duration = Duration::from_millis(400);
 
@@ -114,6 +118,8 @@
     waiters: Vec<Waiter>,
     next_id: u64,
     keys: Vec<(Arc<str>, u16)>,
+    // Upstreams that have left the registry, the newest last.
+    departed: VecDeque<Server>,
     // Latencies relative to others, by the upstream's short id, for the coordinator.
     latencies: Vec<(u32, f64)>,
     // Fencing tokens whose owners have their grants, by the service's short id.
@@ -292,7 +298,21 @@
     /// Removes an upstream.
     pub fn remove_server(self: &Rc<Self>, name: &str) {
         info!(self.log, "upstream removed"; "upstream" => name);
-        self.state.borrow_mut().table.remove(name);
+        let mut state = self.state.borrow_mut();
+        let found = state
+            .table
+            .servers()
+            .find(|server| &*server.name == name)
+            .cloned();
+        if let Some(server) = found {
+            state.departed.retain(|other| other.name != server.name);
+            state.departed.push_back(server);
+            if state.departed.len() > DEPARTED_LIMIT {
+                state.departed.pop_front();
+            }
+        }
+        state.table.remove(name);
+        drop(state);
         self.pump();
     }
 
@@ -325,7 +345,8 @@
         let now = clock::now();
         let vms = peers.len() + 1;
         state.rates.set_vms(now, vms);
-        state.table.set_vms(vms);
+        let before = peers.iter().filter(|peer| peer.name < self.identity.name);
+        state.table.set_vms(vms, before.count());
         for (_, budget) in &mut state.budgets {
             budget.set_vms(self.bounds.retry_slack, vms);
         }
@@ -342,7 +363,7 @@
     pub fn set_leader(&self, leader: Option<String>) {
         let mut state = self.state.borrow_mut();
         if state.leader != leader {
-            info!(self.log, "coordinator changed"; "vm" => leader.as_deref());
+            info!(self.log, "coordinator changed"; "coordinator" => leader.as_deref());
             state.leader = leader;
         }
     }
@@ -391,15 +412,12 @@
             .collect()
     }
 
-    /// Finds an upstream by name.
+    /// Finds an upstream by name, also one that has left the registry: it may still run and hold keys.
     #[must_use]
     pub fn server(&self, name: &str) -> Option<Server> {
         let state = self.state.borrow();
-        state
-            .table
-            .servers()
-            .find(|server| &*server.name == name)
-            .cloned()
+        let mut servers = state.table.servers().chain(state.departed.iter().rev());
+        servers.find(|server| &*server.name == name).cloned()
     }
 
     /// Takes a request from its team's rate.
--- a/crates/kumquat-router/tests/requests.rs
+++ b/crates/kumquat-router/tests/requests.rs
@@ -471,3 +471,18 @@
         assert!(ended.is_ok(), "the process does not end");
     });
 }
+
+/// Guards against keys that have to be waited out because a coordinator can't ask an upstream that left the registry.
+#[test]
+fn an_upstream_that_has_left_can_still_be_asked_for_its_keys() {
+    play(async {
+        let upstream = Upstream::bind(&[Act::Answer("fine")]).await;
+        let router = open(&[&upstream]).await;
+
+        router.vm.remove_server("u0");
+
+        let known = router.vm.server("u0").map(|server| server.address);
+        assert_eq!(known, Some(upstream.address));
+        assert!(router.vm.servers(fixture::router::POOL).is_empty());
+    });
+}
--- a/crates/kumquatpond/tests/pages.rs
+++ b/crates/kumquatpond/tests/pages.rs
@@ -1,14 +1,20 @@
-//! Guards docs/operations.md against the code: operators alert on names that they read there.
+//! Guards docs/OPERATIONS.md against the code: operators alert on names that they read there.
 
 use std::collections::BTreeSet;
 use std::fs;
 use std::path::{Path, PathBuf};
 
 /// Crates whose metrics and log lines the page describes.
-const DAEMONS: [&str; 3] = ["kumquat-daemon", "kumquat-dispatch", "kumquat-entry"];
+const DAEMONS: [&str; 5] = [
+    "crates/kumquat-daemon",
+    "crates/kumquat-dispatch",
+    "crates/kumquat-entry",
+    "crates/kumquat-router",
+    "platform",
+];
 
 /// Starts of the names of metrics.
-const PREFIXES: [&str; 2] = ["kumquat_dispatch_", "kumquat_entry_"];
+const PREFIXES: [&str; 3] = ["kumquat_dispatch_", "kumquat_entry_", "kumquat_vm_"];
 
 /// Macros that write log lines at `info` and above.
 const MACROS: [&str; 4] = ["info!(", "warn!(", "error!(", "crit!("];
@@ -18,7 +24,7 @@
 }
 
 fn page() -> String {
-    fs::read_to_string(root().join("docs/operations.md")).expect("the page can be read")
+    fs::read_to_string(root().join("docs/OPERATIONS.md")).expect("the page can be read")
 }
 
 fn sources(folder: &Path, found: &mut Vec<PathBuf>) {
@@ -36,7 +42,7 @@
 fn code() -> String {
     let mut files = Vec::new();
     for name in DAEMONS {
-        sources(&root().join("crates").join(name).join("src"), &mut files);
+        sources(&root().join(name).join("src"), &mut files);
     }
     files
         .iter()
