Choose among a random part of the upstreams in large fleets, split the VM's state

Change: beyond nine VMs a request's upstream is chosen among a random part, two at least; nine VMs and fewer choose among all as before. A test of 86 VMs without reports fails without the change. vm.rs is split into the state, the places at upstreams and the rest; settings that nothing used are gone.

--- a/crates/kumquat-coordination/src/fleet/table.rs
+++ b/crates/kumquat-coordination/src/fleet/table.rs
@@ -17,6 +17,12 @@
 /// Requests that may wait at an upstream beyond its slots, so that a slot is not idle while an answer travels.
 const QUEUED_AT_UPSTREAM: u32 = 2;
 
+/// VMs up to which reports are fresh enough to choose among all upstreams.
+const FRESH_VMS: u32 = 9;
+
+/// Upstreams among which a request's is chosen at least; two random ones already avoid most of the queueing.
+const LEAST_CONSIDERED: f64 = 2.0;
+
 /// Weight of a new latency in the mean.
 const LATENCY_WEIGHT: f64 = 0.2;
 
@@ -308,9 +314,12 @@
         noise: impl Fn() -> f64,
     ) -> Choice {
         self.expire(now);
+        let part = self.considered(service);
         let mut best: Option<(f64, usize)> = None;
         let mut is_possible = false;
-        for index in 0..self.rows.len() {
+        // The first that can run the request is always considered, so that it must not always be the same one.
+        let start = random_position(noise(), self.rows.len());
+        for index in (start..self.rows.len()).chain(0..start) {
             let row = &self.rows[index];
             if &*row.server.service != service || !self.is_open(&row.server) {
                 continue;
@@ -330,6 +339,9 @@
                 continue;
             }
             let distance = if is_home { 0.0 } else { DISTANCE_COST };
+            if best.is_some() && noise() >= part {
+                continue;
+            }
             let cost = row.cost(now, busy) * (1.0 + distance + NOISE * noise());
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, index));
@@ -342,6 +354,20 @@
         }
     }
 
+    /// Returns the part of a service's upstreams among which a request's is chosen.
+    ///
+    /// Reports come less often in larger fleets. If all VMs chose the best of all upstreams by the same old reports, they
+    /// would all choose the same one.
+    fn considered(&self, service: &str) -> f64 {
+        let open = self
+            .rows
+            .iter()
+            .filter(|row| &*row.server.service == service);
+        let count = u32::try_from(open.count().max(1)).unwrap_or(u32::MAX);
+        let by_vms = f64::from(FRESH_VMS) / f64::from(self.vms.max(1));
+        by_vms.max(LEAST_CONSIDERED / f64::from(count)).min(1.0)
+    }
+
     /// Sends a request to the one upstream that may run it, if it has room.
     pub fn choose_owner(&mut self, now: Instant, name: &str, born: u64) -> Choice {
         self.expire(now);
@@ -505,6 +531,16 @@
     Bucket::new(now, rate / vms, 1.0)
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "the position lies between zero and the number of upstreams"
+)]
+fn random_position(noise: f64, count: usize) -> usize {
+    ((noise * count as f64) as usize).min(count.saturating_sub(1))
+}
+
 /// Returns the short id of an upstream's life that reports carry.
 fn row_id(server: &Server) -> u32 {
     let text = format!("{}/{}", server.name, server.born);
--- a/crates/kumquat-coordination/tests/fleet_table.rs
+++ b/crates/kumquat-coordination/tests/fleet_table.rs
@@ -269,3 +269,30 @@
     assert_eq!(waiting.ahead(SERVICE, 1), 1);
     assert_eq!(waiting.ahead(SERVICE, 0), 0);
 }
+
+/// Guards against VMs of a large fleet that all choose the same upstream by the same old reports.
+#[test]
+fn large_fleets_spread_their_requests() {
+    let servers: Vec<Server> = (0..40)
+        .map(|number| server(&format!("u{number}"), "dc-a"))
+        .collect();
+    let varied = std::cell::Cell::new(0.0);
+    let noise = || {
+        varied.set((varied.get() + 0.618_034) % 1.0);
+        varied.get()
+    };
+    let mut counts = vec![0; 40];
+
+    // Each VM sends one request before any report has come.
+    for rank in 0..86 {
+        let mut table = table(86, &servers);
+        table.set_vms(86, rank);
+        if let Choice::Send(server) = table.choose(at(0), SERVICE, &[], noise) {
+            let number: usize = server.name[1..].parse().expect("a number");
+            counts[number] += 1;
+        }
+    }
+
+    let most = counts.iter().max();
+    assert!(most <= Some(&8), "{counts:?}");
+}
--- a/crates/kumquat-router/src/config.rs
+++ b/crates/kumquat-router/src/config.rs
@@ -61,8 +61,6 @@
     pub name: Arc<str>,
     /// Whether each key has one owning upstream.
     pub is_keyed: bool,
-    /// Connections that an upstream accepts from all VMs.
-    pub connections: u32,
     /// Time for which an upstream is cold after a start.
     pub cold_for: Duration,
     /// Requests a second that a cold upstream bears, from all VMs.
--- a/crates/kumquat-router/src/vm.rs
+++ b/crates/kumquat-router/src/vm.rs
@@ -1,19 +1,15 @@
 //! The `vm` module provides what a VM knows and has under way, which its tasks share on one thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquat_coordination::fleet::{
-    Budget, Choice, Ended, Entry, Load, Map, Rates, Server, Split, Table, Waiting,
-};
+use kumquat_coordination::fleet::{Load, Map, Server, Split};
 use kumquat_state::clock::{self, Instant};
-use rand::RngExt as _;
 use slog::{Logger, info};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::Notify;
 
 use crate::config::Config;
 use crate::dialect::Dialect;
@@ -21,6 +17,12 @@
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 
+mod place;
+mod state;
+
+pub use place::{Placed, Target, Unplaced, Urgency};
+use state::State;
+
 /// Interval at which waiting requests are looked at again when nothing else gives a reason.
 const WAITING_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -30,12 +32,6 @@
 /// Upstreams that have left the registry and whose addresses are remembered.
 const DEPARTED_LIMIT: usize = 64;
 
-/// Longest time that a planned move of keys takes; keys that are longer without an owner wait for a grant to run out.
-const MOVE_TIME: Duration = Duration::from_millis(400);
-
-/// Time that keys without an owner are expected to be so, which is longer than callers wait.
-const OWNERLESS_WAIT: Duration = Duration::from_secs(1);
-
 /// Weight of a new latency in a route's mean.
 const MEAN_WEIGHT: f64 = 0.05;
 
@@ -43,7 +39,7 @@
 const MEAN_OF_AIM: f64 = 0.35;
 
 /// Bounds that the deployment sets.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
     /// Window of the retry budget.
     pub retry_window: Duration,
@@ -103,102 +99,6 @@
     is_loaded: Cell<bool>,
 }
 
-#[derive(Debug, Default)]
-struct State {
-    config: Option<Rc<Config>>,
-    table: Table,
-    rates: Rates,
-    budgets: Vec<(Arc<str>, Budget)>,
-    splits: Vec<(String, Split)>,
-    means: Vec<(String, f64)>,
-    maps: Vec<(Arc<str>, Map)>,
-    peers: Vec<Peer>,
-    leader: Option<String>,
-    waiting: Waiting,
-    waiters: Vec<Waiter>,
-    next_id: u64,
-    keys: Vec<(Arc<str>, u16)>,
-    // Upstreams that have left the registry, the newest last.
-    departed: VecDeque<Server>,
-    // Latencies relative to others, by the upstream's short id, for the coordinator.
-    latencies: Vec<(u32, f64)>,
-    // Fencing tokens whose owners have their grants, by the service's short id.
-    settled: Vec<(u32, u64)>,
-    revision: u64,
-    seen_revision: u64,
-    // Ranges of keys without an owner that has its grant, with the time since when: service, first key and token.
-    ownerless: Vec<(Arc<str>, u16, Instant)>,
-}
-
-#[derive(Debug)]
-struct Waiter {
-    id: u64,
-    target: Target,
-    tried: Vec<Arc<str>>,
-    go: oneshot::Sender<Placed>,
-}
-
-/// Where a request may run.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Target {
-    /// Service.
-    pub service: Arc<str>,
-    /// Key, if only the owner of the key may run it.
-    pub key: Option<u16>,
-}
-
-/// A request that was given a place at an upstream; dropping it gives the place back.
-#[derive(Debug)]
-pub struct Placed {
-    vm: Rc<Vm>,
-    /// The upstream.
-    pub server: Server,
-    is_ended: bool,
-}
-
-impl Placed {
-    /// Notes how the request ended.
-    pub fn end(mut self, ended: Ended, load: Option<Load>) {
-        self.is_ended = true;
-        self.vm.ended(&self.server, ended, load);
-    }
-}
-
-impl Drop for Placed {
-    fn drop(&mut self) {
-        if !self.is_ended {
-            self.vm.ended(&self.server, Ended::Abandoned, None);
-        }
-    }
-}
-
-/// Why a request can't be placed.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Unplaced {
-    /// No upstream of the service takes requests.
-    Nowhere,
-    /// It would be too late; there may be room after this many seconds.
-    Busy {
-        /// Seconds until there may be room.
-        wait: f64,
-    },
-}
-
-/// How long a request may wait for a place.
-#[derive(Clone, Copy, Debug)]
-pub struct Urgency {
-    /// Rank, the lowest first.
-    pub rank: u32,
-    /// Last time at which an answer can still come within the route's aim.
-    pub on_time: Instant,
-    /// Longest wait that is worth while.
-    pub patience: Duration,
-    /// Last time at which it is worth sending.
-    pub latest: Instant,
-    /// Time that a request of its route usually takes.
-    pub mean: Duration,
-}
-
 impl Vm {
     /// Creates the state of a VM that knows nothing yet.
     #[must_use]
@@ -593,131 +493,6 @@
         self.state.borrow().waiting.entries().len()
     }
 
-    /// Finds a place at an upstream for a request, waiting for one if that can help.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if no upstream can run it in time.
-    pub async fn place(
-        self: &Rc<Self>,
-        target: &Target,
-        tried: &[Arc<str>],
-        urgency: Urgency,
-    ) -> Result<Placed, Unplaced> {
-        let (id, mut go) = {
-            let mut state = self.state.borrow_mut();
-            let now = clock::now();
-            let ahead = state.waiting.ahead(&target.service, urgency.rank);
-            if target.key.is_some() || ahead == 0 {
-                match state.pick(now, target, tried) {
-                    Choice::Send(server) => return Ok(self.placed(server)),
-                    Choice::Nowhere => return Err(Unplaced::Nowhere),
-                    Choice::Busy => {}
-                }
-            }
-            let wait = state.expected_wait(now, target, ahead, urgency.mean);
-            if now + wait > urgency.latest || wait > urgency.patience {
-                return Err(Unplaced::Busy {
-                    wait: wait.as_secs_f64(),
-                });
-            }
-            state.next_id += 1;
-            let id = state.next_id;
-            state.waiting.push(Entry {
-                id,
-                service: Arc::clone(&target.service),
-                rank: urgency.rank,
-                on_time: urgency.on_time,
-                latest: urgency.latest,
-            });
-            let (sender, receiver) = oneshot::channel();
-            state.waiters.push(Waiter {
-                id,
-                target: target.clone(),
-                tried: tried.to_vec(),
-                go: sender,
-            });
-            (id, receiver)
-        };
-        let _leave = Leave {
-            vm: Rc::clone(self),
-            id,
-        };
-        match (&mut go).await {
-            Ok(placed) => Ok(placed),
-            // The request was no longer worth sending.
-            Err(_expired) => Err(Unplaced::Busy {
-                wait: urgency.mean.as_secs_f64(),
-            }),
-        }
-    }
-
-    fn placed(self: &Rc<Self>, server: Server) -> Placed {
-        Placed {
-            vm: Rc::clone(self),
-            server,
-            is_ended: false,
-        }
-    }
-
-    fn ended(self: &Rc<Self>, server: &Server, ended: Ended, load: Option<Load>) {
-        let mut state = self.state.borrow_mut();
-        state
-            .table
-            .ended(clock::now(), &server.name, server.born, ended, load);
-        drop(state);
-        self.pump();
-    }
-
-    /// Gives waiting requests the places that have become free, and refuses those that would be too late.
-    pub fn pump(self: &Rc<Self>) {
-        let mut sent = Vec::new();
-        {
-            let mut state = self.state.borrow_mut();
-            let now = clock::now();
-            for entry in state.waiting.expire(now) {
-                state.waiters.retain(|waiter| waiter.id != entry.id);
-            }
-            let entries: Vec<(u64, Arc<str>)> = state
-                .waiting
-                .ordered(now)
-                .into_iter()
-                .map(|entry| (entry.id, Arc::clone(&entry.service)))
-                .collect();
-            let mut full: Vec<Arc<str>> = Vec::new();
-            for (id, service) in entries {
-                if full.contains(&service) {
-                    continue;
-                }
-                let Some(position) = state.waiters.iter().position(|waiter| waiter.id == id) else {
-                    state.waiting.remove(id);
-                    continue;
-                };
-                let target = state.waiters[position].target.clone();
-                let tried = state.waiters[position].tried.clone();
-                match state.pick(now, &target, &tried) {
-                    Choice::Send(server) => {
-                        let waiter = state.waiters.swap_remove(position);
-                        state.waiting.remove(id);
-                        sent.push((waiter.go, server));
-                    }
-                    Choice::Busy if target.key.is_none() => full.push(service),
-                    Choice::Busy => {}
-                    Choice::Nowhere => {
-                        state.waiters.swap_remove(position);
-                        state.waiting.remove(id);
-                    }
-                }
-            }
-            let waiting = i64::try_from(state.waiting.entries().len()).unwrap_or(i64::MAX);
-            self.metrics.waiting.set(waiting);
-        };
-        for (go, server) in sent {
-            // A caller that has left drops its end, which gives the place back.
-            drop(go.send(self.placed(server)));
-        }
-    }
-
     /// Looks after waiting requests and idle connections; runs for as long as the process.
     pub async fn tend(self: Rc<Self>) {
         let mut swept = clock::now();
@@ -772,183 +547,6 @@
     }
 }
 
-/// Removes a waiting request whose caller has left.
-#[derive(Debug)]
-struct Leave {
-    vm: Rc<Vm>,
-    id: u64,
-}
-
-impl Drop for Leave {
-    fn drop(&mut self) {
-        let mut state = self.vm.state.borrow_mut();
-        state.waiting.remove(self.id);
-        let id = self.id;
-        state.waiters.retain(|waiter| waiter.id != id);
-    }
-}
-
-impl State {
-    fn upsert(&mut self, now: Instant, server: Server) {
-        let config = self.config.as_ref();
-        let service = config.and_then(|config| config.service(&server.service));
-        let rate = service.map_or(f64::INFINITY, |service| {
-            if service.cold_rate > 0.0 {
-                service.cold_rate
-            } else {
-                f64::INFINITY
-            }
-        });
-        self.table.upsert(now, server, rate);
-    }
-
-    fn map_position(&self, service: &str) -> Result<usize, usize> {
-        self.maps
-            .binary_search_by(|(name, _)| (**name).cmp(service))
-    }
-
-    fn pick(&mut self, now: Instant, target: &Target, tried: &[Arc<str>]) -> Choice {
-        let Some(key) = target.key else {
-            return self
-                .table
-                .choose(now, &target.service, tried, || rand::rng().random());
-        };
-        let Ok(position) = self.map_position(&target.service) else {
-            return Choice::Busy;
-        };
-        match self.maps[position].1.range(key) {
-            Some(range) if range.previous.is_empty() || self.is_settled(target, range.fence) => {
-                let owner = range.owner.clone();
-                let first = range.first;
-                let choice = self.table.choose_owner(now, &owner.name, owner.born);
-                self.note_owner(now, target, first, choice != Choice::Nowhere);
-                match choice {
-                    // The coordinator will name another owner.
-                    Choice::Nowhere => Choice::Busy,
-                    choice => choice,
-                }
-            }
-            Some(range) => {
-                let first = range.first;
-                self.note_owner(now, target, first, false);
-                Choice::Busy
-            }
-            None => Choice::Busy,
-        }
-    }
-
-    /// Notes whether the owner of a range of keys can be used.
-    fn note_owner(&mut self, now: Instant, target: &Target, first: u16, is_usable: bool) {
-        let find =
-            |entry: &(Arc<str>, u16, Instant)| (&entry.0, entry.1).cmp(&(&target.service, first));
-        match self.ownerless.binary_search_by(find) {
-            Ok(position) if is_usable => {
-                self.ownerless.remove(position);
-            }
-            Err(position) if !is_usable => {
-                let entry = (Arc::clone(&target.service), first, now);
-                self.ownerless.insert(position, entry);
-            }
-            _ => {}
-        }
-    }
-
-    /// Returns whether the keys of a range have had no usable owner for longer than a move takes.
-    fn is_ownerless(&self, now: Instant, target: &Target, key: u16) -> bool {
-        let Ok(position) = self.map_position(&target.service) else {
-            return false;
-        };
-        let Some(range) = self.maps[position].1.range(key) else {
-            return false;
-        };
-        let find = |entry: &(Arc<str>, u16, Instant)| {
-            (&entry.0, entry.1).cmp(&(&target.service, range.first))
-        };
-        let found = self.ownerless.binary_search_by(find);
-        found.is_ok_and(|position| now.saturating_since(self.ownerless[position].2) > MOVE_TIME)
-    }
-
-    fn is_settled(&self, target: &Target, fence: u64) -> bool {
-        let service = team_id(&target.service);
-        self.settled.contains(&(service, fence))
-    }
-
-    /// Returns the owner of a key, if it has its grant.
-    fn owner(&self, service: &str, key: u16) -> Option<Arc<str>> {
-        let position = self.map_position(service).ok()?;
-        let range = self.maps[position].1.range(key)?;
-        Some(Arc::clone(&range.owner.name))
-    }
-
-    /// Returns the time after which a new request for a key can expect a place at the key's owner.
-    fn expected_owner_wait(
-        &self,
-        now: Instant,
-        target: &Target,
-        key: u16,
-        mean: Duration,
-    ) -> Duration {
-        if self.is_ownerless(now, target, key) {
-            return OWNERLESS_WAIT;
-        }
-        let Some(owner) = self.owner(&target.service, key) else {
-            return Duration::ZERO;
-        };
-        let ahead = self.waiters.iter().filter(|waiter| {
-            let key = waiter
-                .target
-                .key
-                .filter(|_| waiter.target.service == target.service);
-            key.and_then(|key| self.owner(&target.service, key))
-                .as_ref()
-                == Some(&owner)
-        });
-        let server = self.table.servers().find(|server| server.name == owner);
-        let slots = server.map_or(1, |server| server.slots.max(1));
-        let busy = self.table.busy_at(now, &owner);
-        // Requests that wait at other VMs are not known; each VM gets its turn.
-        let queued = u32::try_from(ahead.count()).unwrap_or(u32::MAX);
-        let queued = queued.saturating_add(busy.saturating_sub(slots));
-        let slowness = self.table.slowness(&owner);
-        mean.mul_f64(f64::from(queued) * slowness / f64::from(slots))
-    }
-
-    /// Returns the time after which a new waiting request can expect a place, if this VM gets an equal part of the slots.
-    fn expected_wait(
-        &self,
-        now: Instant,
-        target: &Target,
-        ahead: usize,
-        mean: Duration,
-    ) -> Duration {
-        if let Some(key) = target.key {
-            return self.expected_owner_wait(now, target, key, mean);
-        }
-        let vms = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
-        let slots = f64::from(self.table.slots(&target.service).max(1)) / f64::from(vms);
-        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-        mean.mul_f64(f64::from(ahead) / slots)
-    }
-
-    fn budget(&mut self, service: &Arc<str>, bounds: &Bounds) -> &mut Budget {
-        let position = match self.budgets.binary_search_by(|(name, _)| name.cmp(service)) {
-            Ok(position) => position,
-            Err(position) => {
-                let vms = self.peers.len() + 1;
-                let budget = Budget::new(
-                    bounds.retry_window,
-                    bounds.retry_ratio,
-                    bounds.retry_slack,
-                    vms,
-                );
-                self.budgets.insert(position, (Arc::clone(service), budget));
-                position
-            }
-        };
-        &mut self.budgets[position].1
-    }
-}
-
 /// Returns the short id of a team that reports carry.
 #[must_use]
 pub fn team_id(name: &str) -> u32 {
--- /dev/null
+++ b/crates/kumquat-router/src/vm/place.rs
@@ -0,0 +1,216 @@
+//! The `place` module provides places at upstreams for requests, and the wait for one.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquat_coordination::fleet::{Choice, Ended, Entry, Load, Server};
+use kumquat_state::clock::{self, Instant};
+use tokio::sync::oneshot;
+
+use super::Vm;
+use super::state::Waiter;
+
+/// Where a request may run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Target {
+    /// Service.
+    pub service: Arc<str>,
+    /// Key, if only the owner of the key may run it.
+    pub key: Option<u16>,
+}
+
+/// A request that was given a place at an upstream; dropping it gives the place back.
+#[derive(Debug)]
+pub struct Placed {
+    vm: Rc<Vm>,
+    /// The upstream.
+    pub server: Server,
+    is_ended: bool,
+}
+
+impl Placed {
+    /// Notes how the request ended.
+    pub fn end(mut self, ended: Ended, load: Option<Load>) {
+        self.is_ended = true;
+        self.vm.ended(&self.server, ended, load);
+    }
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            self.vm.ended(&self.server, Ended::Abandoned, None);
+        }
+    }
+}
+
+/// Why a request can't be placed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Unplaced {
+    /// No upstream of the service takes requests.
+    Nowhere,
+    /// It would be too late; there may be room after this many seconds.
+    Busy {
+        /// Seconds until there may be room.
+        wait: f64,
+    },
+}
+
+/// How long a request may wait for a place.
+#[derive(Clone, Copy, Debug)]
+pub struct Urgency {
+    /// Rank, the lowest first.
+    pub rank: u32,
+    /// Last time at which an answer can still come within the route's aim.
+    pub on_time: Instant,
+    /// Longest wait that is worth while.
+    pub patience: Duration,
+    /// Last time at which it is worth sending.
+    pub latest: Instant,
+    /// Time that a request of its route usually takes.
+    pub mean: Duration,
+}
+
+impl Vm {
+    /// Finds a place at an upstream for a request, waiting for one if that can help.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no upstream can run it in time.
+    pub async fn place(
+        self: &Rc<Self>,
+        target: &Target,
+        tried: &[Arc<str>],
+        urgency: Urgency,
+    ) -> Result<Placed, Unplaced> {
+        let (id, mut go) = {
+            let mut state = self.state.borrow_mut();
+            let now = clock::now();
+            let ahead = state.waiting.ahead(&target.service, urgency.rank);
+            if target.key.is_some() || ahead == 0 {
+                match state.pick(now, target, tried) {
+                    Choice::Send(server) => return Ok(self.placed(server)),
+                    Choice::Nowhere => return Err(Unplaced::Nowhere),
+                    Choice::Busy => {}
+                }
+            }
+            let wait = state.expected_wait(now, target, ahead, urgency.mean);
+            if now + wait > urgency.latest || wait > urgency.patience {
+                return Err(Unplaced::Busy {
+                    wait: wait.as_secs_f64(),
+                });
+            }
+            state.next_id += 1;
+            let id = state.next_id;
+            state.waiting.push(Entry {
+                id,
+                service: Arc::clone(&target.service),
+                rank: urgency.rank,
+                on_time: urgency.on_time,
+                latest: urgency.latest,
+            });
+            let (sender, receiver) = oneshot::channel();
+            state.waiters.push(Waiter {
+                id,
+                target: target.clone(),
+                tried: tried.to_vec(),
+                go: sender,
+            });
+            (id, receiver)
+        };
+        let _leave = Leave {
+            vm: Rc::clone(self),
+            id,
+        };
+        match (&mut go).await {
+            Ok(placed) => Ok(placed),
+            // The request was no longer worth sending.
+            Err(_expired) => Err(Unplaced::Busy {
+                wait: urgency.mean.as_secs_f64(),
+            }),
+        }
+    }
+
+    fn placed(self: &Rc<Self>, server: Server) -> Placed {
+        Placed {
+            vm: Rc::clone(self),
+            server,
+            is_ended: false,
+        }
+    }
+
+    fn ended(self: &Rc<Self>, server: &Server, ended: Ended, load: Option<Load>) {
+        let mut state = self.state.borrow_mut();
+        state
+            .table
+            .ended(clock::now(), &server.name, server.born, ended, load);
+        drop(state);
+        self.pump();
+    }
+
+    /// Gives waiting requests the places that have become free, and refuses those that would be too late.
+    pub fn pump(self: &Rc<Self>) {
+        let mut sent = Vec::new();
+        {
+            let mut state = self.state.borrow_mut();
+            let now = clock::now();
+            for entry in state.waiting.expire(now) {
+                state.waiters.retain(|waiter| waiter.id != entry.id);
+            }
+            let entries: Vec<(u64, Arc<str>)> = state
+                .waiting
+                .ordered(now)
+                .into_iter()
+                .map(|entry| (entry.id, Arc::clone(&entry.service)))
+                .collect();
+            let mut full: Vec<Arc<str>> = Vec::new();
+            for (id, service) in entries {
+                if full.contains(&service) {
+                    continue;
+                }
+                let Some(position) = state.waiters.iter().position(|waiter| waiter.id == id) else {
+                    state.waiting.remove(id);
+                    continue;
+                };
+                let target = state.waiters[position].target.clone();
+                let tried = state.waiters[position].tried.clone();
+                match state.pick(now, &target, &tried) {
+                    Choice::Send(server) => {
+                        let waiter = state.waiters.swap_remove(position);
+                        state.waiting.remove(id);
+                        sent.push((waiter.go, server));
+                    }
+                    Choice::Busy if target.key.is_none() => full.push(service),
+                    Choice::Busy => {}
+                    Choice::Nowhere => {
+                        state.waiters.swap_remove(position);
+                        state.waiting.remove(id);
+                    }
+                }
+            }
+            let waiting = i64::try_from(state.waiting.entries().len()).unwrap_or(i64::MAX);
+            self.metrics.waiting.set(waiting);
+        };
+        for (go, server) in sent {
+            // A caller that has left drops its end, which gives the place back.
+            drop(go.send(self.placed(server)));
+        }
+    }
+}
+
+/// Removes a waiting request whose caller has left.
+#[derive(Debug)]
+struct Leave {
+    vm: Rc<Vm>,
+    id: u64,
+}
+
+impl Drop for Leave {
+    fn drop(&mut self) {
+        let mut state = self.vm.state.borrow_mut();
+        state.waiting.remove(self.id);
+        let id = self.id;
+        state.waiters.retain(|waiter| waiter.id != id);
+    }
+}
--- /dev/null
+++ b/crates/kumquat-router/src/vm/state.rs
@@ -0,0 +1,217 @@
+//! The `state` module provides what a VM knows, and the lookups and estimates over it.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquat_coordination::fleet::{Budget, Choice, Map, Rates, Server, Split, Table, Waiting};
+use kumquat_state::clock::Instant;
+use rand::RngExt as _;
+use tokio::sync::oneshot;
+
+use super::place::{Placed, Target};
+use super::{Bounds, Peer, team_id};
+use crate::config::Config;
+
+/// Longest time that a planned move of keys takes; keys that are longer without an owner wait for a grant to run out.
+const MOVE_TIME: Duration = Duration::from_millis(400);
+
+/// Time that keys without an owner are expected to be so, which is longer than callers wait.
+const OWNERLESS_WAIT: Duration = Duration::from_secs(1);
+
+#[derive(Debug, Default)]
+pub(super) struct State {
+    pub(super) config: Option<Rc<Config>>,
+    pub(super) table: Table,
+    pub(super) rates: Rates,
+    pub(super) budgets: Vec<(Arc<str>, Budget)>,
+    pub(super) splits: Vec<(String, Split)>,
+    pub(super) means: Vec<(String, f64)>,
+    pub(super) maps: Vec<(Arc<str>, Map)>,
+    pub(super) peers: Vec<Peer>,
+    pub(super) leader: Option<String>,
+    pub(super) waiting: Waiting,
+    pub(super) waiters: Vec<Waiter>,
+    pub(super) next_id: u64,
+    pub(super) keys: Vec<(Arc<str>, u16)>,
+    // Upstreams that have left the registry, the newest last.
+    pub(super) departed: VecDeque<Server>,
+    // Latencies relative to others, by the upstream's short id, for the coordinator.
+    pub(super) latencies: Vec<(u32, f64)>,
+    // Fencing tokens whose owners have their grants, by the service's short id.
+    pub(super) settled: Vec<(u32, u64)>,
+    pub(super) revision: u64,
+    pub(super) seen_revision: u64,
+    // Ranges of keys without an owner that has its grant, with the time since when: service, first key and token.
+    pub(super) ownerless: Vec<(Arc<str>, u16, Instant)>,
+}
+
+#[derive(Debug)]
+pub(super) struct Waiter {
+    pub(super) id: u64,
+    pub(super) target: Target,
+    pub(super) tried: Vec<Arc<str>>,
+    pub(super) go: oneshot::Sender<Placed>,
+}
+
+impl State {
+    pub(super) fn upsert(&mut self, now: Instant, server: Server) {
+        let config = self.config.as_ref();
+        let service = config.and_then(|config| config.service(&server.service));
+        let rate = service.map_or(f64::INFINITY, |service| {
+            if service.cold_rate > 0.0 {
+                service.cold_rate
+            } else {
+                f64::INFINITY
+            }
+        });
+        self.table.upsert(now, server, rate);
+    }
+
+    pub(super) fn map_position(&self, service: &str) -> Result<usize, usize> {
+        self.maps
+            .binary_search_by(|(name, _)| (**name).cmp(service))
+    }
+
+    pub(super) fn pick(&mut self, now: Instant, target: &Target, tried: &[Arc<str>]) -> Choice {
+        let Some(key) = target.key else {
+            return self
+                .table
+                .choose(now, &target.service, tried, || rand::rng().random());
+        };
+        let Ok(position) = self.map_position(&target.service) else {
+            return Choice::Busy;
+        };
+        match self.maps[position].1.range(key) {
+            Some(range) if range.previous.is_empty() || self.is_settled(target, range.fence) => {
+                let owner = range.owner.clone();
+                let first = range.first;
+                let choice = self.table.choose_owner(now, &owner.name, owner.born);
+                self.note_owner(now, target, first, choice != Choice::Nowhere);
+                match choice {
+                    // The coordinator will name another owner.
+                    Choice::Nowhere => Choice::Busy,
+                    choice => choice,
+                }
+            }
+            Some(range) => {
+                let first = range.first;
+                self.note_owner(now, target, first, false);
+                Choice::Busy
+            }
+            None => Choice::Busy,
+        }
+    }
+
+    /// Notes whether the owner of a range of keys can be used.
+    fn note_owner(&mut self, now: Instant, target: &Target, first: u16, is_usable: bool) {
+        let find =
+            |entry: &(Arc<str>, u16, Instant)| (&entry.0, entry.1).cmp(&(&target.service, first));
+        match self.ownerless.binary_search_by(find) {
+            Ok(position) if is_usable => {
+                self.ownerless.remove(position);
+            }
+            Err(position) if !is_usable => {
+                let entry = (Arc::clone(&target.service), first, now);
+                self.ownerless.insert(position, entry);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns whether the keys of a range have had no usable owner for longer than a move takes.
+    fn is_ownerless(&self, now: Instant, target: &Target, key: u16) -> bool {
+        let Ok(position) = self.map_position(&target.service) else {
+            return false;
+        };
+        let Some(range) = self.maps[position].1.range(key) else {
+            return false;
+        };
+        let find = |entry: &(Arc<str>, u16, Instant)| {
+            (&entry.0, entry.1).cmp(&(&target.service, range.first))
+        };
+        let found = self.ownerless.binary_search_by(find);
+        found.is_ok_and(|position| now.saturating_since(self.ownerless[position].2) > MOVE_TIME)
+    }
+
+    fn is_settled(&self, target: &Target, fence: u64) -> bool {
+        let service = team_id(&target.service);
+        self.settled.contains(&(service, fence))
+    }
+
+    /// Returns the owner of a key, if it has its grant.
+    fn owner(&self, service: &str, key: u16) -> Option<Arc<str>> {
+        let position = self.map_position(service).ok()?;
+        let range = self.maps[position].1.range(key)?;
+        Some(Arc::clone(&range.owner.name))
+    }
+
+    /// Returns the time after which a new request for a key can expect a place at the key's owner.
+    fn expected_owner_wait(
+        &self,
+        now: Instant,
+        target: &Target,
+        key: u16,
+        mean: Duration,
+    ) -> Duration {
+        if self.is_ownerless(now, target, key) {
+            return OWNERLESS_WAIT;
+        }
+        let Some(owner) = self.owner(&target.service, key) else {
+            return Duration::ZERO;
+        };
+        let ahead = self.waiters.iter().filter(|waiter| {
+            let key = waiter
+                .target
+                .key
+                .filter(|_| waiter.target.service == target.service);
+            key.and_then(|key| self.owner(&target.service, key))
+                .as_ref()
+                == Some(&owner)
+        });
+        let server = self.table.servers().find(|server| server.name == owner);
+        let slots = server.map_or(1, |server| server.slots.max(1));
+        let busy = self.table.busy_at(now, &owner);
+        // Requests that wait at other VMs are not known; each VM gets its turn.
+        let queued = u32::try_from(ahead.count()).unwrap_or(u32::MAX);
+        let queued = queued.saturating_add(busy.saturating_sub(slots));
+        let slowness = self.table.slowness(&owner);
+        mean.mul_f64(f64::from(queued) * slowness / f64::from(slots))
+    }
+
+    /// Returns the time after which a new waiting request can expect a place, if this VM gets an equal part of the slots.
+    pub(super) fn expected_wait(
+        &self,
+        now: Instant,
+        target: &Target,
+        ahead: usize,
+        mean: Duration,
+    ) -> Duration {
+        if let Some(key) = target.key {
+            return self.expected_owner_wait(now, target, key, mean);
+        }
+        let vms = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
+        let slots = f64::from(self.table.slots(&target.service).max(1)) / f64::from(vms);
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        mean.mul_f64(f64::from(ahead) / slots)
+    }
+
+    pub(super) fn budget(&mut self, service: &Arc<str>, bounds: &Bounds) -> &mut Budget {
+        let position = match self.budgets.binary_search_by(|(name, _)| name.cmp(service)) {
+            Ok(position) => position,
+            Err(position) => {
+                let vms = self.peers.len() + 1;
+                let budget = Budget::new(
+                    bounds.retry_window,
+                    bounds.retry_ratio,
+                    bounds.retry_slack,
+                    vms,
+                );
+                self.budgets.insert(position, (Arc::clone(service), budget));
+                position
+            }
+        };
+        &mut self.budgets[position].1
+    }
+}
