Count the time without an owner anew for each move of keys

Cause: found by reading. The time since when a range had no usable owner was kept by its first key and cleared only by a request that found an owner. A later, short move of the same keys was then refused at once instead of being waited for.

Change: the time is kept by the fencing token, which each move has of its own, and is dropped with the range. The new test fails without the change.

--- a/crates/kumquat-router/src/vm.rs
+++ b/crates/kumquat-router/src/vm.rs
@@ -280,6 +280,10 @@
         let moving = map.ranges.iter().filter(|range| !range.previous.is_empty());
         info!(self.log, "owners changed"; "service" => &**service, "ranges" => map.ranges.len(),
             "moving" => moving.count(), "next_fence" => map.next_fence);
+        // Each move has a token of its own, and the time without an owner counts anew.
+        state.ownerless.retain(|(name, fence, _)| {
+            name != service || map.ranges.iter().any(|range| range.fence == *fence)
+        });
         match state.map_position(service) {
             Ok(position) => state.maps[position].1 = map,
             Err(position) => state.maps.insert(position, (Arc::clone(service), map)),
--- a/crates/kumquat-router/src/vm/state.rs
+++ b/crates/kumquat-router/src/vm/state.rs
@@ -43,8 +43,8 @@
     pub(super) settled: Vec<(u32, u64)>,
     pub(super) revision: u64,
     pub(super) seen_revision: u64,
-    // Ranges of keys without an owner that has its grant, with the time since when: service, first key and token.
-    pub(super) ownerless: Vec<(Arc<str>, u16, Instant)>,
+    // Fencing tokens of ranges without an owner that can be used, by service, with the time since when.
+    pub(super) ownerless: Vec<(Arc<str>, u64, Instant)>,
 }
 
 #[derive(Debug)]
@@ -86,9 +86,9 @@
         match self.maps[position].1.range(key) {
             Some(range) if range.previous.is_empty() || self.is_settled(target, range.fence) => {
                 let owner = range.owner.clone();
-                let first = range.first;
+                let fence = range.fence;
                 let choice = self.table.choose_owner(now, &owner.name, owner.born);
-                self.note_owner(now, target, first, choice != Choice::Nowhere);
+                self.note_owner(now, target, fence, choice != Choice::Nowhere);
                 match choice {
                     // The coordinator will name another owner.
                     Choice::Nowhere => Choice::Busy,
@@ -96,8 +96,8 @@
                 }
             }
             Some(range) => {
-                let first = range.first;
-                self.note_owner(now, target, first, false);
+                let fence = range.fence;
+                self.note_owner(now, target, fence, false);
                 Choice::Busy
             }
             None => Choice::Busy,
@@ -105,15 +105,15 @@
     }
 
     /// Notes whether the owner of a range of keys can be used.
-    fn note_owner(&mut self, now: Instant, target: &Target, first: u16, is_usable: bool) {
+    fn note_owner(&mut self, now: Instant, target: &Target, fence: u64, is_usable: bool) {
         let find =
-            |entry: &(Arc<str>, u16, Instant)| (&entry.0, entry.1).cmp(&(&target.service, first));
+            |entry: &(Arc<str>, u64, Instant)| (&entry.0, entry.1).cmp(&(&target.service, fence));
         match self.ownerless.binary_search_by(find) {
             Ok(position) if is_usable => {
                 self.ownerless.remove(position);
             }
             Err(position) if !is_usable => {
-                let entry = (Arc::clone(&target.service), first, now);
+                let entry = (Arc::clone(&target.service), fence, now);
                 self.ownerless.insert(position, entry);
             }
             _ => {}
@@ -128,8 +128,8 @@
         let Some(range) = self.maps[position].1.range(key) else {
             return false;
         };
-        let find = |entry: &(Arc<str>, u16, Instant)| {
-            (&entry.0, entry.1).cmp(&(&target.service, range.first))
+        let find = |entry: &(Arc<str>, u64, Instant)| {
+            (&entry.0, entry.1).cmp(&(&target.service, range.fence))
         };
         let found = self.ownerless.binary_search_by(find);
         found.is_ok_and(|position| now.saturating_since(self.ownerless[position].2) > MOVE_TIME)
--- a/crates/kumquat-router/tests/requests.rs
+++ b/crates/kumquat-router/tests/requests.rs
@@ -486,3 +486,30 @@
         assert!(router.vm.servers(fixture::router::POOL).is_empty());
     });
 }
+
+/// Guards against the keys of a later, short move being refused at once because those of an earlier one had no owner for long.
+#[test]
+fn a_later_move_of_the_same_keys_is_waited_for() {
+    play(async {
+        let new = Upstream::bind(&[Act::Answer("new")]).await;
+        let router = open(&[]).await;
+        router.vm.upsert_server(server("new", KEYED, &new));
+        router
+            .vm
+            .set_map(&KEYED.into(), owned_by("new", 2, &["lost"]));
+        send(router.address, &request("GET", "/keyed/a", "t1")).await;
+        pause(100).await;
+
+        router
+            .vm
+            .set_map(&KEYED.into(), owned_by("new", 3, &["old"]));
+        let address = router.address;
+        let answer = tokio::task::spawn_local(async move {
+            send(address, &request("GET", "/keyed/a", "t2")).await
+        });
+        pause(50).await;
+        router.vm.set_map(&KEYED.into(), owned_by("new", 3, &[]));
+
+        assert!(answer.await.expect("it ends").ends_with("new"));
+    });
+}
