Grant keys for five seconds at the longest

A data centre was lost with the coordinator in it, and later all VMs. Each successor waited 10.6 s, the longest time for which its predecessor could have granted, before it gave the keys of upstreams that did not answer to others.

Ruled out: upstreams that refuse connections (found dead at once), departed upstreams (their addresses are remembered).

Change: grants hold for 5 s at the longest, also while the store is away. With the lease of the coordinator this spans an outage of some 7 s; the sites' outages of the whole store last 4.5 s.

Longer outages leave keys without owners sooner; docs/platform.md says so.

--- a/crates/kumquat-router/src/coordination.rs
+++ b/crates/kumquat-router/src/coordination.rs
@@ -23,6 +23,12 @@
 /// How long a grant holds in ordinary times: the time for which the keys of a silent upstream have no owner.
 const HOLD: Duration = Duration::from_secs(4);
 
+/// Longest time for which a grant holds, when the store is away.
+///
+/// A successor has to wait this long for upstreams that don't answer, because it can't know what its predecessor granted.
+/// With the lease it spans an outage of the store of some seven seconds.
+const LONGEST_HOLD: Duration = Duration::from_secs(5);
+
 /// Time after which a grant is renewed; three renewals fit into a hold.
 const RENEWAL: Duration = Duration::from_millis(1_200);
 
@@ -199,7 +205,7 @@
     }
 
     fn options(&self) -> Options {
-        let longest_hold = self.vm.bounds.longest_hold;
+        let longest_hold = self.vm.bounds.longest_hold.min(LONGEST_HOLD);
         Options {
             hold: HOLD.min(longest_hold),
             longest_hold,
