Reset connections on which something was given up

The coordinator had given the grant up during the cut and closed its connection; the bytes were still held up and arrived with a retransmission after the cut.

Ruled out: orders of an earlier coordinator (the log shows one in office throughout), the wake-up of VMs that stood still (they had their lease renewed or lost by then).

Change: connections to upstreams and the store are reset when they are dropped, which discards what is on its way.

--- a/crates/kumquat-router/src/http.rs
+++ b/crates/kumquat-router/src/http.rs
@@ -158,13 +158,17 @@
         }
     }
 
-    /// Connects to an address.
+    /// Connects to an address; the connection is reset when it is dropped.
+    ///
+    /// What was sent before a partition would otherwise arrive after it, long after the sender has given it up.
     ///
     /// # Errors
     ///
     /// Returns an error if no connection is established.
     pub async fn connect(address: SocketAddr) -> Result<Self> {
-        Ok(Self::new(TcpStream::connect(address).await?))
+        let stream = TcpStream::connect(address).await?;
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+        Ok(Self::new(stream))
     }
 
     /// Returns whether bytes are left that were read and not used.
