--- a/crates/kumquat-coordination/src/fleet/ownership/plan.rs
+++ b/crates/kumquat-coordination/src/fleet/ownership/plan.rs
@@ -34,7 +34,7 @@
             self.cover(&mut map);
         } else {
             let is_settled = map.ranges.iter().all(|range| range.previous.is_empty());
-            self.rescue(now, &mut map);
+            self.reassign(now, &mut map);
             let is_due = now.saturating_since(self.balanced) >= self.options.balance;
             if is_settled && is_due {
                 self.balanced = now;
@@ -116,7 +116,7 @@
     }
 
     /// Gives the keys of owners that are lost, leave or may not be used to others.
-    fn rescue(&self, now: Instant, map: &mut Map) {
+    fn reassign(&self, now: Instant, map: &mut Map) {
         let mut loads = self.loads(now, map);
         if loads.is_empty() {
             return;
@@ -150,7 +150,7 @@
         }
     }
 
-    fn place(&self, mut range: Range, loads: &mut [Burden], map: &mut Map, index: &mut usize) {
+    fn place(&self, mut range: Range, loads: &mut [OwnerLoad], map: &mut Map, index: &mut usize) {
         let heat = self.heat_of(&range);
         if let Some(least) = loads
             .iter_mut()
@@ -186,7 +186,7 @@
             let room = (mean - low.relative()) * low.capacity;
             let wanted = excess.min(room);
             let (from, to) = (high.holder.clone(), low.holder.clone());
-            let Some(moved) = self.carve(map, &from, &to, wanted) else {
+            let Some(moved) = self.split_off(map, &from, &to, wanted) else {
                 return;
             };
             for load in &mut loads {
@@ -200,7 +200,7 @@
     }
 
     /// Moves about `wanted` load from one owner to another; returns how much, or nothing if no cut fits.
-    fn carve(&self, map: &mut Map, from: &Holder, to: &Holder, wanted: f64) -> Option<f64> {
+    fn split_off(&self, map: &mut Map, from: &Holder, to: &Holder, wanted: f64) -> Option<f64> {
         let mut best: Option<(f64, usize, u16, f64)> = None;
         for (index, range) in map.ranges.iter().enumerate() {
             if range.owner != *from || !range.previous.is_empty() {
@@ -278,7 +278,7 @@
         map.ranges = joined;
     }
 
-    fn loads(&self, now: Instant, map: &Map) -> Vec<Burden> {
+    fn loads(&self, now: Instant, map: &Map) -> Vec<OwnerLoad> {
         let owners = self
             .members
             .iter()
@@ -292,7 +292,7 @@
                     .ranges
                     .iter()
                     .filter(|range| range.owner == member.holder);
-                Burden {
+                OwnerLoad {
                     holder: member.holder.clone(),
                     capacity: member.capacity,
                     heat: own.map(|range| self.heat_of(range)).sum(),
@@ -327,13 +327,13 @@
 
 /// The load of an upstream that may be given keys.
 #[derive(Clone, Debug)]
-struct Burden {
+struct OwnerLoad {
     holder: Holder,
     capacity: f64,
     heat: f64,
 }
 
-impl Burden {
+impl OwnerLoad {
     fn relative(&self) -> f64 {
         self.heat / self.capacity
     }
--- a/crates/kumquat-router/src/caller.rs
+++ b/crates/kumquat-router/src/caller.rs
@@ -84,7 +84,7 @@
             tokio::task::spawn_local(async move {
                 vm.metrics.connections.inc();
                 let mut wire = Wire::new(stream);
-                if let Err(error) = converse(&vm, &mut wire).await {
+                if let Err(error) = serve_connection(&vm, &mut wire).await {
                     slog::debug!(vm.log, "caller's connection ended"; "error" => %error);
                 }
                 vm.metrics.connections.dec();
@@ -99,7 +99,7 @@
 }
 
 /// Serves the requests of one connection.
-async fn converse(vm: &Rc<Vm>, wire: &mut Wire) -> Result<()> {
+async fn serve_connection(vm: &Rc<Vm>, wire: &mut Wire) -> Result<()> {
     loop {
         let limits = vm.config().map(|config| config.limits).unwrap_or_default();
         if !wait_for_request(vm, wire, &limits).await? {
@@ -117,7 +117,7 @@
 
         let signals = Signals::default();
         let is_head = incoming.head.method == "HEAD";
-        let Some(reply) = attend(vm, wire, &incoming, &signals).await else {
+        let Some(reply) = serve_until_left(vm, wire, &incoming, &signals).await else {
             return Ok(());
         };
         let stays = keeps_alive && !vm.is_stopping();
@@ -182,7 +182,7 @@
 }
 
 /// Serves a request while watching whether its caller leaves; returns nothing if it has left.
-async fn attend(
+async fn serve_until_left(
     vm: &Rc<Vm>,
     wire: &mut Wire,
     incoming: &Incoming,
--- a/crates/kumquat-router/src/gateway.rs
+++ b/crates/kumquat-router/src/gateway.rs
@@ -21,7 +21,7 @@
 /// Longest expected wait that a request is admitted with, in parts of its route's aim.
 ///
 /// Under overload a longer queue serves no more requests, it only serves all of them late.
-const PATIENCE: f64 = 0.4;
+const MAX_WAIT_OF_AIM: f64 = 0.4;
 
 /// Time that must be left for a request to be worth sending, whatever its route.
 const LEAST_TIME: Duration = Duration::from_millis(5);
@@ -111,7 +111,7 @@
 
 /// What happened to a request on its way.
 #[derive(Debug, Default)]
-struct Story {
+struct Progress {
     tried: Vec<Arc<str>>,
     sends: u32,
     misdirected: u32,
@@ -128,12 +128,12 @@
 
 /// Serves a request; the line about it is logged.
 pub async fn serve(vm: &Rc<Vm>, incoming: &Incoming, signals: &Signals) -> Reply {
-    let mut story = Story::default();
+    let mut progress = Progress::default();
     let mut line = Line::default();
     let config = vm.config();
     let reply = if let Some(config) = &config {
         line.version = config.version;
-        admit(vm, config, incoming, signals, &mut story, &mut line).await
+        admit(vm, config, incoming, signals, &mut progress, &mut line).await
     } else {
         line.reason = "no desired state yet";
         Reply::refused(503, line.reason, RETRY_UNKNOWN)
@@ -146,13 +146,13 @@
         .unwrap_or_default();
     line.status = reply.status;
     line.took_ms = millis(took);
-    line.waited_ms = millis(story.waited);
-    line.upstreams = story.tried.join(",");
+    line.waited_ms = millis(progress.waited);
+    line.upstreams = progress.tried.join(",");
     line.waiting = vm.waiting();
     vm.journal.write(&line);
     vm.metrics.answers.with_label_values(&[line.reason]).inc();
     vm.metrics.latency.observe(took.as_secs_f64());
-    vm.metrics.wait.observe(story.waited.as_secs_f64());
+    vm.metrics.wait.observe(progress.waited.as_secs_f64());
     reply
 }
 
@@ -162,7 +162,7 @@
     config: &'a Config,
     incoming: &Incoming,
     signals: &Signals,
-    story: &mut Story,
+    progress: &mut Progress,
     line: &mut Line<'a>,
 ) -> Reply {
     let headers = &incoming.head.headers;
@@ -242,14 +242,14 @@
     line.service = request.target.service.to_string();
     line.key = request.target.key;
     vm.count(&request.target);
-    match request.run(story).await {
+    match request.run(progress).await {
         Ok(reply) => {
             line.reason = "answered";
             reply
         }
         Err(refusal) => {
             // A request that no upstream has seen is not counted against its team.
-            if let (0, Some(team)) = (story.sends, request.team) {
+            if let (0, Some(team)) = (progress.sends, request.team) {
                 vm.put_back_rate(team);
             }
             line.reason = refusal.reason;
@@ -270,69 +270,69 @@
 
 impl Request<'_> {
     /// Sends the request to upstreams until one has answered or it has to be given up.
-    async fn run(&self, story: &mut Story) -> Result<Reply, Refusal> {
+    async fn run(&self, progress: &mut Progress) -> Result<Reply, Refusal> {
         loop {
-            let placed = self.place(story).await?;
-            let next = self.attempt(placed, story).await;
+            let placed = self.place(progress).await?;
+            let next = self.attempt(placed, progress).await;
             let reason = match next {
                 Next::Reply(reply) => return Ok(reply),
-                Next::GiveUp(reason) => return Err(self.refusal(story, reason, Duration::ZERO)),
+                Next::GiveUp(reason) => return Err(self.refusal(progress, reason, Duration::ZERO)),
                 Next::Again(reason) => reason,
             };
-            let is_spent = story.sends >= self.route.max_attempts.max(1);
-            if story.may_have_run && !self.route.is_idempotent {
-                return Err(self.refusal(story, reason, Duration::ZERO));
+            let is_spent = progress.sends >= self.route.max_attempts.max(1);
+            if progress.may_have_run && !self.route.is_idempotent {
+                return Err(self.refusal(progress, reason, Duration::ZERO));
             }
-            if story.tried.len() >= CONNECT_LIMIT || is_spent || self.signals.has_left.get() {
-                return Err(self.refusal(story, reason, self.vm.mean(self.route)));
+            if progress.tried.len() >= CONNECT_LIMIT || is_spent || self.signals.has_left.get() {
+                return Err(self.refusal(progress, reason, self.vm.mean(self.route)));
             }
-            if story.misdirected > 0 {
+            if progress.misdirected > 0 {
                 tokio::time::sleep(OWNER_PAUSE).await;
             }
             // An upstream that was not reached has cost nobody anything.
-            if story.sends > 0 && !self.vm.take_repeat(&self.target.service) {
-                return Err(self.refusal(story, reason, self.vm.mean(self.route)));
+            if progress.sends > 0 && !self.vm.take_repeat(&self.target.service) {
+                return Err(self.refusal(progress, reason, self.vm.mean(self.route)));
             }
-            if let (true, Some(team)) = (story.may_have_run, self.team) {
+            if let (true, Some(team)) = (progress.may_have_run, self.team) {
                 self.vm.repeat_rate(team);
             }
         }
     }
 
-    async fn place(&self, story: &mut Story) -> Result<Placed, Refusal> {
+    async fn place(&self, progress: &mut Progress) -> Result<Placed, Refusal> {
         let mean = self.vm.mean(self.route);
         let least = mean.mul_f64(LEAST_OF_MEAN).max(LEAST_TIME);
         let latest = self.deadline - least.min(self.route.timeout / 2);
         let started = clock::now();
         if started > latest {
-            return Err(self.refusal(story, "too little time left", mean));
+            return Err(self.refusal(progress, "too little time left", mean));
         }
         let aim = self.incoming.arrived + self.route.aim;
         let urgency = Urgency {
             rank: self.rank,
             on_time: aim - mean,
-            patience: self.route.aim.mul_f64(PATIENCE),
+            max_wait: self.route.aim.mul_f64(MAX_WAIT_OF_AIM),
             latest,
             mean,
         };
         let tried = if self.target.key.is_some() {
             &[]
         } else {
-            &*story.tried
+            &*progress.tried
         };
         let placed = self.vm.place(&self.target, tried, urgency).await;
-        story.waited += clock::now().saturating_since(started);
+        progress.waited += clock::now().saturating_since(started);
         placed.map_err(|unplaced| match unplaced {
-            Unplaced::Nowhere => self.refusal(story, "no upstream", RETRY_UNKNOWN),
-            Unplaced::Busy { wait } => self.refusal(story, "no room in time", seconds(wait)),
+            Unplaced::Nowhere => self.refusal(progress, "no upstream", RETRY_UNKNOWN),
+            Unplaced::Busy { wait } => self.refusal(progress, "no room in time", seconds(wait)),
         })
     }
 
     /// Sends the request to one upstream.
-    async fn attempt(&self, placed: Placed, story: &mut Story) -> Next {
+    async fn attempt(&self, placed: Placed, progress: &mut Progress) -> Next {
         let name = Arc::clone(&placed.server.name);
         let address = placed.server.address;
-        story.tried.push(Arc::clone(&name));
+        progress.tried.push(Arc::clone(&name));
         let pooled = self.vm.pool.borrow_mut().take(address);
         let wire = if let Some(wire) = pooled {
             Ok(wire)
@@ -356,7 +356,7 @@
         }
         let bytes = self.render(&placed, left);
         let started = clock::now();
-        story.sends += 1;
+        progress.sends += 1;
         self.signals.must_finish.set(!self.route.is_idempotent);
         let request = upstream::Request {
             method: &self.incoming.head.method,
@@ -366,8 +366,8 @@
         let exchange = upstream::exchange(&mut wire, &request, &self.vm.dialect);
         let result = timeout(left, exchange).await;
         let took = clock::now().saturating_since(started);
-        let next = self.conclude(result, took, placed, wire, story);
-        if !story.may_have_run {
+        let next = self.conclude(result, took, placed, wire, progress);
+        if !progress.may_have_run {
             self.signals.must_finish.set(false);
         }
         next
@@ -380,14 +380,14 @@
         took: Duration,
         placed: Placed,
         wire: Wire,
-        story: &mut Story,
+        progress: &mut Progress,
     ) -> Next {
         let relative = took.as_secs_f64() / self.vm.mean(self.route).as_secs_f64().max(0.001);
         let answer = match result {
             Ok(Ok(answer)) => answer,
             Ok(Err(failure)) => {
                 self.count_attempt("broken");
-                story.may_have_run = true;
+                progress.may_have_run = true;
                 slog::debug!(self.vm.log, "upstream answer broken"; "id" => self.id,
                     "upstream" => &*placed.server.name, "error" => %failure);
                 placed.end(Ended::Failed { relative: None }, None);
@@ -395,7 +395,7 @@
             }
             Err(_elapsed) => {
                 self.count_attempt("timeout");
-                story.may_have_run = true;
+                progress.may_have_run = true;
                 placed.end(
                     Ended::Failed {
                         relative: Some(relative),
@@ -412,7 +412,7 @@
             self.vm.pool.borrow_mut().put(address, wire, idle);
         }
         if upstream::is_not_run(&answer.head, &self.vm.dialect) {
-            return self.not_run(&answer, placed, load, story);
+            return self.not_run(&answer, placed, load, progress);
         }
         let is_signed = answer
             .head
@@ -421,7 +421,7 @@
             .is_some();
         if !is_signed {
             self.count_attempt("unsigned");
-            story.may_have_run = true;
+            progress.may_have_run = true;
             placed.end(Ended::Failed { relative: None }, load);
             return Next::Again("the upstream's answer is not genuine");
         }
@@ -429,11 +429,11 @@
         if is_failure {
             self.count_attempt("failure");
             placed.end(Ended::Failed { relative: None }, load);
-            story.may_have_run = true;
+            progress.may_have_run = true;
             let has_time = clock::now() + self.vm.mean(self.route) < self.deadline;
             let may_repeat = self.route.is_idempotent
                 && has_time
-                && story.sends < self.route.max_attempts
+                && progress.sends < self.route.max_attempts
                 && !self.signals.has_left.get();
             if may_repeat && self.target.key.is_none() {
                 return Next::Again("the upstream failed");
@@ -453,7 +453,7 @@
         answer: &Answer,
         placed: Placed,
         load: Option<kumquat_coordination::fleet::Load>,
-        story: &mut Story,
+        progress: &mut Progress,
     ) -> Next {
         if answer.head.status != MISDIRECTED {
             self.count_attempt("shed");
@@ -462,16 +462,16 @@
         }
         self.count_attempt("misdirected");
         placed.end(Ended::Abandoned, load);
-        story.misdirected += 1;
-        if story.misdirected > MISDIRECTED_LIMIT {
+        progress.misdirected += 1;
+        if progress.misdirected > MISDIRECTED_LIMIT {
             return Next::GiveUp("the upstream does not hold the key");
         }
         Next::Again("the upstream is not the one expected")
     }
 
-    fn refusal(&self, story: &Story, reason: &'static str, after: Duration) -> Refusal {
+    fn refusal(&self, progress: &Progress, reason: &'static str, after: Duration) -> Refusal {
         // Statuses 429 and 503 promise that the request has not run and never will.
-        let status = match (story.may_have_run, clock::now() < self.deadline) {
+        let status = match (progress.may_have_run, clock::now() < self.deadline) {
             (false, _) => 503,
             (true, true) => 502,
             (true, false) => 504,
--- a/crates/kumquat-router/src/vm.rs
+++ b/crates/kumquat-router/src/vm.rs
@@ -498,7 +498,7 @@
     }
 
     /// Looks after waiting requests and idle connections; runs for as long as the process.
-    pub async fn tend(self: Rc<Self>) {
+    pub async fn maintain(self: Rc<Self>) {
         let mut swept = clock::now();
         loop {
             let is_waiting = self.waiting() > 0;
--- a/crates/kumquat-router/src/vm/place.rs
+++ b/crates/kumquat-router/src/vm/place.rs
@@ -65,7 +65,7 @@
     /// Last time at which an answer can still come within the route's aim.
     pub on_time: Instant,
     /// Longest wait that is worth while.
-    pub patience: Duration,
+    pub max_wait: Duration,
     /// Last time at which it is worth sending.
     pub latest: Instant,
     /// Time that a request of its route usually takes.
@@ -96,7 +96,7 @@
                 }
             }
             let wait = state.expected_wait(now, target, ahead, urgency.mean);
-            if now + wait > urgency.latest || wait > urgency.patience {
+            if now + wait > urgency.latest || wait > urgency.max_wait {
                 return Err(Unplaced::Busy {
                     wait: wait.as_secs_f64(),
                 });
@@ -119,7 +119,7 @@
             });
             (id, receiver)
         };
-        let _leave = Leave {
+        let _guard = WaitGuard {
             vm: Rc::clone(self),
             id,
         };
@@ -201,12 +201,12 @@
 
 /// Removes a waiting request whose caller has left.
 #[derive(Debug)]
-struct Leave {
+struct WaitGuard {
     vm: Rc<Vm>,
     id: u64,
 }
 
-impl Drop for Leave {
+impl Drop for WaitGuard {
     fn drop(&mut self) {
         let mut state = self.vm.state.borrow_mut();
         state.waiting.remove(self.id);
