Share keys evenly before there is any traffic

Balance then asked for an excess that counts of requests can't have by chance, but applied it to the constant weight of the keys as well.

Change: only the measured part of the load counts for significance; the first map waits until the upstreams have stayed the same for 300 ms; a change of the map may contain a move for every ten upstreams.

--- a/crates/kumquat-coordination/src/fleet/ownership.rs
+++ b/crates/kumquat-coordination/src/fleet/ownership.rs
@@ -222,6 +222,8 @@
     heat: Vec<f32>,
     cooled: Instant,
     balanced: Instant,
+    // When the number of upstreams last changed.
+    joined: Instant,
     is_extending: bool,
     // Since when owners have their grants although the map still names earlier ones.
     unsettled: Option<Instant>,
@@ -249,6 +251,7 @@
             heat: vec![0.0; usize::from(u16::MAX) + 1],
             cooled: now,
             balanced: now,
+            joined: now,
             is_extending: false,
             unsettled: None,
         }
@@ -261,7 +264,10 @@
     }
 
     /// Sets the upstreams of the service.
-    pub fn set_members(&mut self, mut members: Vec<Member>) {
+    pub fn set_members(&mut self, now: Instant, mut members: Vec<Member>) {
+        if members.len() != self.members.len() {
+            self.joined = now;
+        }
         members.sort_by(|a, b| a.holder.cmp(&b.holder));
         self.members = members;
     }
--- a/crates/kumquat-coordination/src/fleet/ownership/plan.rs
+++ b/crates/kumquat-coordination/src/fleet/ownership/plan.rs
@@ -15,9 +15,17 @@
 /// Time after which the map is written again only to drop earlier owners; the VMs are told sooner by reports.
 const SETTLE_DELAY: Duration = Duration::from_secs(2);
 
-/// Moves that one change of the map may contain; each has a short gap for its keys.
+/// Moves that one change of the map may contain in a small fleet; each has a short gap for its keys.
 const MOVES_AT_ONCE: usize = 6;
 
+/// Upstreams of a large fleet per move that one change of the map may contain.
+const UPSTREAMS_PER_MOVE: usize = 10;
+
+/// Time for which the upstreams have to stay the same before all keys are divided for the first time.
+///
+/// At the start of a whole deployment they register one after the other.
+const COVER_DELAY: Duration = Duration::from_millis(300);
+
 /// Ranges per upstream above which neighbouring ranges of one owner are joined.
 const RANGES_PER_OWNER: usize = 4;
 
@@ -31,7 +39,9 @@
         map.next_fence = map.next_fence.max(1);
         self.settle(&mut map);
         if map.ranges.is_empty() {
-            self.cover(&mut map);
+            if now.saturating_since(self.joined) >= COVER_DELAY {
+                self.cover(&mut map);
+            }
         } else {
             let is_settled = map.ranges.iter().all(|range| range.previous.is_empty());
             self.reassign(now, &mut map);
@@ -172,7 +182,8 @@
             return;
         }
         let mean = total / capacity;
-        for _ in 0..MOVES_AT_ONCE {
+        let keys = f64::from(u16::MAX) + 1.0;
+        for _ in 0..MOVES_AT_ONCE.max(loads.len() / UPSTREAMS_PER_MOVE) {
             loads.sort_by(|a, b| a.relative().total_cmp(&b.relative()));
             let (Some(low), Some(high)) = (loads.first(), loads.last()) else {
                 return;
@@ -180,7 +191,10 @@
             // What both have in excess of and below the mean bounds what is worth moving.
             let fair = mean * high.capacity;
             let excess = high.heat - fair;
-            if excess < (fair * OVERLOAD).max(SIGNIFICANCE * fair.sqrt()) {
+            // Only requests vary by chance.
+            let unmeasured = keys * HEAT_PER_KEY * high.capacity / capacity;
+            let deviation = (fair - unmeasured).max(0.0).sqrt();
+            if excess < (fair * OVERLOAD).max(SIGNIFICANCE * deviation) {
                 return;
             }
             let room = (mean - low.relative()) * low.capacity;
--- a/crates/kumquat-coordination/tests/fleet_ownership.rs
+++ b/crates/kumquat-coordination/tests/fleet_ownership.rs
@@ -209,7 +209,7 @@
         let Some((mut coordinator, until)) = self.leader.take() else {
             return;
         };
-        coordinator.set_members(members);
+        coordinator.set_members(self.now, members);
         coordinator.set_extending(self.random.random_range(0..4) == 0);
         coordinator.count(&heat);
         let mut actions = Vec::new();
@@ -406,7 +406,7 @@
         let mut members = world.members();
         // After a second the first upstream may no longer own keys.
         members[0].may_own = step < 25;
-        coordinator.set_members(members);
+        coordinator.set_members(world.now, members);
         let mut actions = Vec::new();
         coordinator.tick(world.now, &mut actions);
         for action in actions {
@@ -445,7 +445,7 @@
             for upstream in &mut world.upstreams {
                 upstream.cut_until = Instant::ORIGIN;
             }
-            coordinator.set_members(world.members());
+            coordinator.set_members(world.now, world.members());
             let mut actions = Vec::new();
             coordinator.tick(world.now, &mut actions);
             for action in actions {
@@ -503,3 +503,40 @@
     assert!(!map(vec![range(0, 9, 1)]).is_valid());
     assert!(!map(vec![range(0, u16::MAX, 5)]).is_valid());
 }
+
+/// Guards against upstreams that get no keys because others were registered before them.
+#[test]
+fn upstreams_that_register_in_turn_share_the_keys_before_traffic_starts() {
+    let count = 134;
+    let mut world = World::new(1, count);
+    let mut coordinator = Coordinator::new(world.now, options(), Map::default());
+
+    for step in 0..200 {
+        world.now = world.now + STEP;
+        let registered = usize::try_from(count)
+            .expect("a small count")
+            .min(2 + step * 5);
+        coordinator.set_members(
+            world.now,
+            world.members().into_iter().take(registered).collect(),
+        );
+        let mut actions = Vec::new();
+        coordinator.tick(world.now, &mut actions);
+        for action in actions {
+            settle(&mut world, &mut coordinator, &action);
+        }
+    }
+
+    let fair = 65_536.0 / 134.0;
+    for member in world.members() {
+        let ranges = world.map.ranges.iter();
+        let own = ranges.filter(|range| range.owner == member.holder);
+        let keys: f64 = own
+            .map(|range| f64::from(range.last) - f64::from(range.first) + 1.0)
+            .sum();
+        assert!(
+            keys > fair * 0.5 && keys < fair * 1.5,
+            "{keys} keys, fair {fair}"
+        );
+    }
+}
--- a/crates/kumquat-router/src/coordination.rs
+++ b/crates/kumquat-router/src/coordination.rs
@@ -195,7 +195,7 @@
             };
             let coordinator = &mut coordinators[position].1;
             coordinator.set_extending(self.is_store_lost.get());
-            coordinator.set_members(self.members(now, &service.name));
+            coordinator.set_members(now, self.members(now, &service.name));
             let mut actions = Vec::new();
             coordinator.tick(now, &mut actions);
             for action in actions {
