--- a/crates/kumquat-router/src/caller.rs
+++ b/crates/kumquat-router/src/caller.rs
@@ -280,23 +280,36 @@
 }
 
 /// Answers questions about readiness and metrics for as long as the process runs.
-pub async fn run_admin(vm: Rc<Vm>, listener: TcpListener) {
+pub async fn run_admin<P: Pages + 'static>(vm: Rc<Vm>, listener: TcpListener, pages: Rc<P>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let vm = Rc::clone(&vm);
+        let pages = Rc::clone(&pages);
         tokio::task::spawn_local(async move {
             let mut wire = Wire::new(stream);
-            if let Err(error) = answer_admin(&vm, &mut wire).await {
+            if let Err(error) = answer_admin(&vm, &mut wire, &*pages).await {
                 slog::debug!(vm.log, "admin connection ended"; "error" => %error);
             }
         });
     }
 }
 
-async fn answer_admin(vm: &Vm, wire: &mut Wire) -> Result<()> {
+/// Pages besides those for metrics and readiness.
+pub trait Pages {
+    /// Returns status and body of a page, if there is one of this target.
+    fn answer(&self, target: &str) -> impl Future<Output = Option<(u16, Vec<u8>)>>;
+}
+
+impl Pages for () {
+    async fn answer(&self, _target: &str) -> Option<(u16, Vec<u8>)> {
+        None
+    }
+}
+
+async fn answer_admin(vm: &Vm, wire: &mut Wire, pages: &impl Pages) -> Result<()> {
     let limits = Limits::default();
     loop {
         match timeout(limits.idle_timeout, wire.readable()).await {
@@ -314,7 +327,13 @@
             },
             path if path == vm.dialect.ready_path && vm.is_ready() => Reply::own(200, "ready"),
             path if path == vm.dialect.ready_path => Reply::own(503, "not ready"),
-            _ => Reply::own(404, "no such page"),
+            target => match pages.answer(target).await {
+                Some((status, body)) => Reply {
+                    body,
+                    ..Reply::own(status, "")
+                },
+                None => Reply::own(404, "no such page"),
+            },
         };
         let bytes = render(&reply, keeps_alive, false, limits.idle_timeout);
         wire.write(&bytes).await?;
