Survive counts of a team that start anew

Cause: a desired state that drops a team and a later one that has it again reset the counts of the team's requests at a VM. The others took the difference for four billion requests and refused the team's requests for some seconds. VMs that restarted were also remembered for ever.

Change: a count that went back counts as unknown, so that only the recent part is taken; VMs that were not heard for 10 s are forgotten.

Found by reading.

--- a/crates/kumquat-coordination/src/fleet/rate.rs
+++ b/crates/kumquat-coordination/src/fleet/rate.rs
@@ -43,6 +43,9 @@
 /// Debt in seconds of the rate at which nothing more is admitted.
 const DEBT_LIMIT_S: f64 = 0.5;
 
+/// Time after which a VM that was not heard is forgotten; a process that restarts reports under a new number.
+const MEMORY: Duration = Duration::from_secs(10);
+
 /// Interval at which the parts of the VMs are looked at anew.
 const DIVIDE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -260,6 +263,13 @@
 
     fn divide(&mut self, now: Instant) {
         self.divided = now;
+        let is_kept = |at: Instant| now.saturating_since(at) < MEMORY;
+        for (peer, _) in self.heard.iter().filter(|(_, at)| !is_kept(*at)) {
+            for team in &mut self.teams {
+                team.forget(*peer);
+            }
+        }
+        self.heard.retain(|(_, at)| is_kept(*at));
         let part = self.part(now);
         for team in &mut self.teams {
             let rate = team.rate * part * RATE_USED;
@@ -323,14 +333,24 @@
             asked: usage.asked,
             used: usage.used,
         };
+        let recent = Count {
+            asked: usage.recently_asked,
+            used: usage.recently_used,
+        };
         let more = match self.peers.binary_search_by_key(&peer, |entry| entry.0) {
-            Ok(position) => count.since(std::mem::replace(&mut self.peers[position].1, count)),
+            Ok(position) => {
+                let before = std::mem::replace(&mut self.peers[position].1, count);
+                let more = count.since(before);
+                // Counts start anew when a desired state drops a team and a later one has it again.
+                if more.asked > u32::MAX / 2 {
+                    recent
+                } else {
+                    more
+                }
+            }
             Err(position) => {
                 self.peers.insert(position, (peer, count));
-                Count {
-                    asked: usage.recently_asked,
-                    used: usage.recently_used,
-                }
+                recent
             }
         };
         self.add_demand(now, more.asked);
--- a/crates/kumquat-coordination/tests/fleet_rate.rs
+++ b/crates/kumquat-coordination/tests/fleet_rate.rs
@@ -117,6 +117,25 @@
     assert!(served >= 470, "{served} of 480 were served");
 }
 
+/// Guards against counts that start anew, as when a desired state drops a team and the next one has it again.
+#[test]
+fn a_team_that_comes_back_at_one_vm_is_served_at_the_others() {
+    let mut fleet = fleet(2, 100.0, 100.0);
+    let asks = |vm: usize, step: u64| u32::from(vm == 0 && step % 2 == 0);
+    play(&mut fleet, 5, asks, |_, _, _| true);
+
+    let again = at(5_000);
+    fleet[0].set_teams(again, &[]);
+    fleet[0].set_teams(again, &[(TEAM, 100.0, 100.0)]);
+    assert_eq!(fleet[0].take(again, TEAM), Taken::Allowed);
+    let usages = fleet[0].usages();
+    fleet[1].report(again, 0, &usages);
+
+    let times = (0..40).map(|number| at(5_010 + number * 5));
+    let served = times.filter(|now| fleet[1].take(*now, TEAM) == Taken::Allowed);
+    assert_eq!(served.count(), 40);
+}
+
 /// Guards against a debt or an unlimited level after a long pause.
 #[test]
 fn a_bucket_holds_no_more_than_its_burst() {
