Give keys to upstreams far below the mean load

Change: keys also move to an upstream that is significantly below the mean, half of what lies between it and the busiest one at most.

--- a/crates/kumquat-coordination/src/fleet/ownership/plan.rs
+++ b/crates/kumquat-coordination/src/fleet/ownership/plan.rs
@@ -189,16 +189,16 @@
                 return;
             };
             // What both have in excess of and below the mean bounds what is worth moving.
-            let fair = mean * high.capacity;
-            let excess = high.heat - fair;
-            // Only requests vary by chance.
-            let unmeasured = keys * HEAT_PER_KEY * high.capacity / capacity;
-            let deviation = (fair - unmeasured).max(0.0).sqrt();
-            if excess < (fair * OVERLOAD).max(SIGNIFICANCE * deviation) {
+            let excess = high.heat - mean * high.capacity;
+            let room = mean * low.capacity - low.heat;
+            let wanted = if excess >= significant(mean, keys * HEAT_PER_KEY / capacity, high) {
+                excess.min(room)
+            } else if room >= significant(mean, keys * HEAT_PER_KEY / capacity, low) {
+                // An upstream with little to do, such as a new one, takes from the busiest.
+                room.min((high.relative() - low.relative()) / 2.0 * low.capacity)
+            } else {
                 return;
-            }
-            let room = (mean - low.relative()) * low.capacity;
-            let wanted = excess.min(room);
+            };
             let (from, to) = (high.holder.clone(), low.holder.clone());
             let Some(moved) = self.split_off(map, &from, &to, wanted) else {
                 return;
@@ -339,6 +339,14 @@
     }
 }
 
+/// Returns the least difference from the mean load of an upstream that is worth a move.
+fn significant(mean: f64, unmeasured: f64, load: &OwnerLoad) -> f64 {
+    let fair = mean * load.capacity;
+    // Only requests vary by chance, the constant weight of keys does not.
+    let deviation = (fair - unmeasured * load.capacity).max(0.0).sqrt();
+    (fair * OVERLOAD).max(SIGNIFICANCE * deviation)
+}
+
 /// The load of an upstream that may be given keys.
 #[derive(Clone, Debug)]
 struct OwnerLoad {
