Explain a request from log lines

`kumquatctl explain ID [FILE...]` prints the lines of a request in order with the last lines before it about what its VM believed, and those about the upstreams that were tried. Operators searched for these by hand.

--- a/crates/kumquat-coordination/tests/fleet_rate.rs
+++ b/crates/kumquat-coordination/tests/fleet_rate.rs
@@ -121,7 +121,7 @@
 #[test]
 fn a_team_that_comes_back_at_one_vm_is_served_at_the_others() {
     let mut fleet = fleet(2, 100.0, 100.0);
-    let asks = |vm: usize, step: u64| u32::from(vm == 0 && step % 2 == 0);
+    let asks = |vm: usize, step: u64| u32::from(vm == 0 && step.is_multiple_of(2));
     play(&mut fleet, 5, asks, |_, _, _| true);
 
     let again = at(5_000);
--- a/crates/kumquatctl/src/args.rs
+++ b/crates/kumquatctl/src/args.rs
@@ -70,6 +70,13 @@
     },
     /// Show the accepted bundle and what each VM has in force.
     Status,
+    /// Show what became of a request and what its VM believed, from log lines of `kumquat-vm`.
+    Explain {
+        /// Id of the request, as callers send it.
+        id: String,
+        /// Files with log lines of one or several VMs; standard input if there are none.
+        files: Vec<PathBuf>,
+    },
     /// Show the accepted versions, latest first.
     History {
         /// Most versions to show.
--- a/crates/kumquatctl/src/commands.rs
+++ b/crates/kumquatctl/src/commands.rs
@@ -2,6 +2,7 @@
 
 mod change;
 mod check;
+mod explain;
 mod keygen;
 mod show;
 mod sign;
@@ -39,6 +40,7 @@
             follow_chain,
             limit,
         } => show::audit(&store()?, follow_chain, limit).await,
+        Command::Explain { id, files } => explain::explain(&id, &files),
         Command::Completions { shell } => Ok(completions(shell)),
         command => {
             let (edit, change) = change::Edit::from_command(command)?;
