Look up sorted vectors of the router in one place

Cause: the read-through found the same find-or-insert by key written seven times in kumquat-router (splits, means, budgets, owners of keys, coordinators, numbers of reports), each desired state cloning and upserting every upstream only to refresh cold limits, and each report cloning the names of all peers.

Change: `sorted::get` and `sorted::entry` serve all of them; `Table::set_cold_rates` changes the limits in place; the peers are shared instead of copied.

--- a/crates/kumquat-coordination/src/fleet/table.rs
+++ b/crates/kumquat-coordination/src/fleet/table.rs
@@ -219,6 +219,13 @@
         }
     }
 
+    /// Sets what each upstream bears while cold, by its service; those that are cold now keep their limit.
+    pub fn set_cold_rates(&mut self, now: Instant, rate: impl Fn(&str) -> f64) {
+        for row in self.rows.iter_mut().filter(|row| row.cold_until <= now) {
+            row.cold = cold_bucket(now, rate(&row.server.service), self.vms);
+        }
+    }
+
     /// Removes an upstream.
     pub fn remove(&mut self, name: &str) {
         if let Ok(position) = self.position(name) {
--- a/crates/kumquat-router/src/coordination.rs
+++ b/crates/kumquat-router/src/coordination.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use crate::dialect::{self, Call};
+use crate::sorted;
 use crate::upstream::{self, Answer, Failure, MISDIRECTED};
 use crate::vm::{Vm, team_id};
 
@@ -183,17 +184,11 @@
         let keyed = config.services.iter().filter(|service| service.is_keyed);
         let mut coordinators = self.coordinators.borrow_mut();
         for service in keyed {
-            let position = match coordinators.binary_search_by(|(name, _)| name.cmp(&service.name))
-            {
-                Ok(position) => position,
-                Err(position) => {
-                    let map = self.vm.map(&service.name).unwrap_or_default();
-                    let coordinator = Coordinator::new(now, self.options(), map);
-                    coordinators.insert(position, (Arc::clone(&service.name), coordinator));
-                    position
-                }
-            };
-            let coordinator = &mut coordinators[position].1;
+            let coordinator = sorted::entry(&mut coordinators, &*service.name, || {
+                let map = self.vm.map(&service.name).unwrap_or_default();
+                let coordinator = Coordinator::new(now, self.options(), map);
+                (Arc::clone(&service.name), coordinator)
+            });
             coordinator.set_extending(self.is_store_lost.get());
             coordinator.set_members(now, self.members(now, &service.name));
             let mut actions = Vec::new();
--- a/crates/kumquat-router/src/lib.rs
+++ b/crates/kumquat-router/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod peers;
 pub mod pool;
 pub mod record;
+mod sorted;
 pub mod upstream;
 pub mod vm;
--- a/crates/kumquat-router/src/peers.rs
+++ b/crates/kumquat-router/src/peers.rs
@@ -13,6 +13,7 @@
 use tokio::net::UdpSocket;
 
 use crate::coordination::Coordination;
+use crate::sorted;
 use crate::vm::{Vm, team_id};
 
 /// Largest datagram that is read, in bytes.
@@ -118,13 +119,6 @@
     }
 
     fn take(&self, report: Report, numbers: &mut Vec<(u64, u64)>) {
-        let position = match numbers.binary_search_by_key(&report.from, |entry| entry.0) {
-            Ok(position) => position,
-            Err(position) => {
-                numbers.insert(position, (report.from, 0));
-                position
-            }
-        };
         for (service, keys) in &report.keys {
             self.coordination.count(*service, keys);
         }
@@ -133,10 +127,11 @@
             .map(|(id, percent)| (*id, f64::from(*percent) / 100.0))
             .collect();
         self.vm.observe(&latencies);
-        if report.number <= numbers[position].1 {
+        let last = sorted::entry(numbers, &report.from, || (report.from, 0));
+        if report.number <= *last {
             return;
         }
-        numbers[position].1 = report.number;
+        *last = report.number;
         if let Some(revision) = report.revision {
             self.vm.see_revision(revision);
         }
@@ -190,7 +185,7 @@
             last_settled = settled;
             last_running = running;
             let bytes = report.encode();
-            for peer in &peers {
+            for peer in &*peers {
                 self.post(&bytes, peer.address);
             }
             if is_full {
--- a/crates/kumquat-router/src/vm.rs
+++ b/crates/kumquat-router/src/vm.rs
@@ -16,6 +16,7 @@
 use crate::journal::Journal;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::sorted;
 
 mod place;
 mod state;
@@ -151,12 +152,7 @@
             .collect();
         state.rates.set_teams(now, &limits);
         state.config = Some(Rc::new(config));
-        // The limits of cold upstreams may have changed.
-        let servers: Vec<Server> = state.table.servers().cloned().collect();
-        for mut server in servers {
-            server.cold_for = Duration::ZERO;
-            state.upsert(now, server);
-        }
+        state.refresh_cold_rates(now);
         drop(state);
         self.pump();
     }
@@ -237,7 +233,7 @@
     /// Sets the other VMs.
     pub fn set_peers(&self, peers: Vec<Peer>) {
         let mut state = self.state.borrow_mut();
-        if state.peers == peers {
+        if *state.peers == *peers {
             return;
         }
         let names: Vec<&str> = peers.iter().map(|peer| peer.name.as_str()).collect();
@@ -250,13 +246,13 @@
         for (_, budget) in &mut state.budgets {
             budget.set_vms(self.bounds.retry_slack, vms);
         }
-        state.peers = peers;
+        state.peers = peers.into();
     }
 
     /// Returns the other VMs.
     #[must_use]
-    pub fn peers(&self) -> Vec<Peer> {
-        self.state.borrow().peers.clone()
+    pub fn peers(&self) -> Rc<[Peer]> {
+        Rc::clone(&self.state.borrow().peers)
     }
 
     /// Sets the VM that holds the coordinator's lease.
@@ -284,10 +280,9 @@
         state.ownerless.retain(|(name, fence, _)| {
             name != service || map.ranges.iter().any(|range| range.fence == *fence)
         });
-        match state.map_position(service) {
-            Ok(position) => state.maps[position].1 = map,
-            Err(position) => state.maps.insert(position, (Arc::clone(service), map)),
-        }
+        *sorted::entry(&mut state.maps, &**service, || {
+            (Arc::clone(service), Map::default())
+        }) = map;
         drop(state);
         self.pump();
     }
@@ -295,9 +290,7 @@
     /// Returns the owners of a service's keys.
     #[must_use]
     pub fn map(&self, service: &str) -> Option<Map> {
-        let state = self.state.borrow();
-        let position = state.map_position(service).ok()?;
-        Some(state.maps[position].1.clone())
+        self.state.borrow().map(service).cloned()
     }
 
     /// Returns the upstreams of a service, with the time until which each is cold.
@@ -353,15 +346,10 @@
         }
         let weights: Vec<u32> = route.parts.iter().map(|part| part.weight).collect();
         let mut state = self.state.borrow_mut();
-        let position = state
-            .splits
-            .binary_search_by(|(name, _)| name.cmp(&route.name));
-        let position = position.unwrap_or_else(|position| {
-            let entry = (route.name.clone(), Split::default());
-            state.splits.insert(position, entry);
-            position
+        let split = sorted::entry(&mut state.splits, &route.name, || {
+            (route.name.clone(), Split::default())
         });
-        let part = state.splits[position].1.next(&weights);
+        let part = split.next(&weights);
         Some(Arc::clone(&route.parts.get(part)?.service))
     }
 
@@ -393,27 +381,19 @@
     #[must_use]
     pub fn mean(&self, route: &crate::config::Route) -> Duration {
         let state = self.state.borrow();
-        match state
-            .means
-            .binary_search_by(|(name, _)| name.cmp(&route.name))
-        {
-            Ok(position) => Duration::from_secs_f64(state.means[position].1),
-            Err(_) => route.aim.mul_f64(MEAN_OF_AIM),
-        }
+        sorted::get(&state.means, &route.name).map_or_else(
+            || route.aim.mul_f64(MEAN_OF_AIM),
+            |mean| Duration::from_secs_f64(*mean),
+        )
     }
 
     /// Notes how long a request took at an upstream.
     pub fn note_latency(&self, route: &crate::config::Route, took: Duration) {
         let first = route.aim.as_secs_f64() * MEAN_OF_AIM;
         let mut state = self.state.borrow_mut();
-        let position = state
-            .means
-            .binary_search_by(|(name, _)| name.cmp(&route.name));
-        let position = position.unwrap_or_else(|position| {
-            state.means.insert(position, (route.name.clone(), first));
-            position
+        let mean = sorted::entry(&mut state.means, &route.name, || {
+            (route.name.clone(), first)
         });
-        let mean = &mut state.means[position].1;
         *mean += MEAN_WEIGHT * (took.as_secs_f64() - *mean);
     }
 
--- a/crates/kumquat-router/src/vm/state.rs
+++ b/crates/kumquat-router/src/vm/state.rs
@@ -13,6 +13,7 @@
 use super::place::{Placed, Target};
 use super::{Bounds, Peer, team_id};
 use crate::config::Config;
+use crate::sorted;
 
 /// Longest time that a planned move of keys takes; keys that are longer without an owner wait for a grant to run out.
 const MOVE_TIME: Duration = Duration::from_millis(400);
@@ -29,7 +30,7 @@
     pub(super) splits: Vec<(String, Split)>,
     pub(super) means: Vec<(String, f64)>,
     pub(super) maps: Vec<(Arc<str>, Map)>,
-    pub(super) peers: Vec<Peer>,
+    pub(super) peers: Rc<[Peer]>,
     pub(super) leader: Option<String>,
     pub(super) waiting: Waiting,
     pub(super) waiters: Vec<Waiter>,
@@ -57,21 +58,19 @@
 
 impl State {
     pub(super) fn upsert(&mut self, now: Instant, server: Server) {
-        let config = self.config.as_ref();
-        let service = config.and_then(|config| config.service(&server.service));
-        let rate = service.map_or(f64::INFINITY, |service| {
-            if service.cold_rate > 0.0 {
-                service.cold_rate
-            } else {
-                f64::INFINITY
-            }
-        });
+        let rate = cold_rate(self.config.as_deref(), &server.service);
         self.table.upsert(now, server, rate);
     }
 
-    pub(super) fn map_position(&self, service: &str) -> Result<usize, usize> {
-        self.maps
-            .binary_search_by(|(name, _)| (**name).cmp(service))
+    /// Takes over what upstreams bear while cold by the desired state in force.
+    pub(super) fn refresh_cold_rates(&mut self, now: Instant) {
+        let config = self.config.as_deref();
+        self.table
+            .set_cold_rates(now, |service| cold_rate(config, service));
+    }
+
+    pub(super) fn map(&self, service: &str) -> Option<&Map> {
+        sorted::get(&self.maps, service)
     }
 
     pub(super) fn pick(&mut self, now: Instant, target: &Target, tried: &[Arc<str>]) -> Choice {
@@ -80,10 +79,7 @@
                 .table
                 .choose(now, &target.service, tried, || rand::rng().random());
         };
-        let Ok(position) = self.map_position(&target.service) else {
-            return Choice::Busy;
-        };
-        match self.maps[position].1.range(key) {
+        match self.map(&target.service).and_then(|map| map.range(key)) {
             Some(range) if range.previous.is_empty() || self.is_settled(target, range.fence) => {
                 let owner = range.owner.clone();
                 let fence = range.fence;
@@ -122,10 +118,8 @@
 
     /// Returns whether the keys of a range have had no usable owner for longer than a move takes.
     fn is_ownerless(&self, now: Instant, target: &Target, key: u16) -> bool {
-        let Ok(position) = self.map_position(&target.service) else {
-            return false;
-        };
-        let Some(range) = self.maps[position].1.range(key) else {
+        let map = self.map(&target.service);
+        let Some(range) = map.and_then(|map| map.range(key)) else {
             return false;
         };
         let find = |entry: &(Arc<str>, u64, Instant)| {
@@ -142,8 +136,7 @@
 
     /// Returns the owner of a key, if it has its grant.
     fn owner(&self, service: &str, key: u16) -> Option<Arc<str>> {
-        let position = self.map_position(service).ok()?;
-        let range = self.maps[position].1.range(key)?;
+        let range = self.map(service)?.range(key)?;
         Some(Arc::clone(&range.owner.name))
     }
 
@@ -198,20 +191,22 @@
     }
 
     pub(super) fn budget(&mut self, service: &Arc<str>, bounds: &Bounds) -> &mut Budget {
-        let position = match self.budgets.binary_search_by(|(name, _)| name.cmp(service)) {
-            Ok(position) => position,
-            Err(position) => {
-                let vms = self.peers.len() + 1;
-                let budget = Budget::new(
-                    bounds.retry_window,
-                    bounds.retry_ratio,
-                    bounds.retry_slack,
-                    vms,
-                );
-                self.budgets.insert(position, (Arc::clone(service), budget));
-                position
-            }
-        };
-        &mut self.budgets[position].1
+        let vms = self.peers.len() + 1;
+        sorted::entry(&mut self.budgets, &**service, || {
+            let budget = Budget::new(
+                bounds.retry_window,
+                bounds.retry_ratio,
+                bounds.retry_slack,
+                vms,
+            );
+            (Arc::clone(service), budget)
+        })
     }
 }
+
+/// Returns what an upstream of a service bears while cold; without a limit it bears everything.
+fn cold_rate(config: Option<&Config>, service: &str) -> f64 {
+    let service = config.and_then(|config| config.service(service));
+    let rate = service.map(|service| service.cold_rate);
+    rate.filter(|rate| *rate > 0.0).unwrap_or(f64::INFINITY)
+}
