--- a/crates/kumquat-router/tests/requests.rs
+++ b/crates/kumquat-router/tests/requests.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use fixture::router::{
-    Act, KEYED, Upstream, bare, config, field, open, owned_by, pause, play, read_answer, request,
-    send, server, status,
+    Act, KEYED, Upstream, answer_to, bare, config, field, open, owned_by, pause, play, read_answer,
+    request, send, server, status,
 };
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
@@ -135,10 +135,8 @@
     play(async {
         let both = "HTTP/1.1 200 OK\r\nX-Try: other\r\nX-Sign: s\r\nContent-Length: 5\r\n\r\nother\
                     HTTP/1.1 200 OK\r\nX-Try: ID\r\nX-Sign: s\r\nContent-Length: 4\r\n\r\nmine";
-        let upstream = Upstream::bind(&[Act::Raw(both)]).await;
-        let router = open(&[&upstream]).await;
 
-        let answer = send(router.address, &request("POST", "/once/a", "t1")).await;
+        let answer = answer_to(Act::Raw(both), "POST", "/once/a").await;
 
         assert_eq!(status(&answer), 200, "{answer}");
         assert!(answer.ends_with("mine"), "{answer}");
@@ -167,10 +165,8 @@
 fn an_answer_that_ends_with_its_connection_is_whole() {
     play(async {
         let text = "HTTP/1.1 200 OK\r\nX-Try: ID\r\nX-Sign: s\r\n\r\nall of it";
-        let upstream = Upstream::bind(&[Act::RawAndClose(text)]).await;
-        let router = open(&[&upstream]).await;
 
-        let answer = send(router.address, &request("GET", "/safe/a", "t1")).await;
+        let answer = answer_to(Act::RawAndClose(text), "GET", "/safe/a").await;
 
         assert_eq!(field(&answer, "Content-Length").as_deref(), Some("9"));
         assert!(answer.ends_with("all of it"), "{answer}");
@@ -182,10 +178,8 @@
 fn a_failure_of_the_upstream_passes_unchanged() {
     play(async {
         let text = "HTTP/1.1 500 Oops\r\nX-Try: ID\r\nX-Sign: s\r\nContent-Length: 4\r\n\r\noops";
-        let upstream = Upstream::bind(&[Act::Raw(text)]).await;
-        let router = open(&[&upstream]).await;
 
-        let answer = send(router.address, &request("POST", "/once/a", "t1")).await;
+        let answer = answer_to(Act::Raw(text), "POST", "/once/a").await;
 
         assert_eq!(status(&answer), 500);
         assert_eq!(field(&answer, "X-Sign").as_deref(), Some("s"));
