Notice cold starts of upstreams that have just warmed up

A trace of the group (name, running, limit, recent latency, baseline at each send) showed why: after its restart the upstream had completed its ramp, was taken as warm at 9 ms against 5 ms of the others, and turned cold again at the same moment. It had no baseline of 16 answers, so that no latency counted as a rise, and the answers of the second cold start became the baseline.

Ruled out: the observer (the upstream had answered while cold, the router knew its answers) and a late end of earlier requests.

Change: the last slot is withheld until cold_step answers after the ramp took normal time, for two ramps at most, and an upstream without a baseline is compared with its group. An upstream that is slow by nature gets its slots, with its own latency as baseline.

Answers vary, so that a cold start whose first answers happen to be fast can still go unnoticed.

--- a/crates/kumquat-coordination/src/dispatch/cold.rs
+++ b/crates/kumquat-coordination/src/dispatch/cold.rs
@@ -11,6 +11,12 @@
 /// Latency, relative to the baseline, up to which an upstream counts as warm again.
 const NORMAL: f64 = 2.0;
 
+/// Ramp lengths for which the last slot of an upstream that stays slow is withheld after the ramp.
+///
+/// An upstream that turns cold again at the end of its ramp looks like one that is slow by nature; only the former bears
+/// less than its slots, and no longer than a ramp.
+const WITHHOLDING: u32 = 2;
+
 /// Samples that a baseline needs before a rise against it counts.
 const BASELINE_SAMPLES: u32 = 16;
 
@@ -37,6 +43,8 @@
     /// Grows with each cold start, so that completions of earlier attempts don't count.
     period: u32,
     baseline: Mean,
+    /// Latency since the ramp has reached the slots.
+    confirmation: Mean,
     /// Outcomes of the last eight attempts, one bit each, set for a failure.
     failures: u8,
 }
@@ -52,6 +60,7 @@
             completed: 0,
             period: 0,
             baseline: Mean::new(0.0),
+            confirmation: Mean::new(0.0),
             failures: 0,
         }
     }
@@ -66,20 +75,38 @@
 
     /// Returns how many requests may run at once.
     pub(crate) fn limit(&self) -> u32 {
-        if self.cold {
-            // A limit of zero would keep the upstream cold for ever.
-            self.cold_slots
-                .max(1)
-                .saturating_add(self.completed / self.cold_step)
-                .min(self.slots)
+        if !self.cold {
+            return self.slots;
+        }
+        let ramp = self.ramp();
+        let is_withheld = ramp >= self.slots && self.completed < self.patience(WITHHOLDING);
+        if is_withheld {
+            let least = self.cold_slots.clamp(1, self.slots.max(1));
+            self.slots.saturating_sub(1).max(least)
         } else {
-            self.slots
+            ramp
         }
     }
 
-    /// Returns whether the limit is at its full height, cold or not.
-    pub(crate) fn is_full(&self) -> bool {
-        self.limit() >= self.slots
+    /// Returns what the upstream bears by its completed requests.
+    fn ramp(&self) -> u32 {
+        // A limit of zero would keep the upstream cold for ever.
+        self.cold_slots
+            .max(1)
+            .saturating_add(self.completed / self.cold_step)
+            .min(self.slots)
+    }
+
+    /// Returns the completed requests after this many ramp lengths.
+    fn patience(&self, ramps: u32) -> u32 {
+        self.cold_step
+            .saturating_mul(self.slots.max(1))
+            .saturating_mul(ramps)
+    }
+
+    /// Returns whether the upstream has completed its ramp or was never in one.
+    pub(crate) fn has_ramped(&self) -> bool {
+        !self.cold || self.ramp() >= self.slots
     }
 
     /// Starts a cold start.
@@ -87,27 +114,32 @@
         self.cold = true;
         self.completed = 0;
         self.period += 1;
+        self.confirmation = Mean::new(0.0);
         self.failures = 0;
     }
 
     /// Counts a completed attempt that was sent in `period`; returns whether the upstream has become warm.
-    pub(crate) fn complete(&mut self, period: u32, recent: Mean, group: f64) -> bool {
+    ///
+    /// `usual` is the usual latency of the group, which counts until the upstream has a baseline of its own.
+    pub(crate) fn complete(&mut self, period: u32, latency: f64, usual: f64) -> bool {
         self.failures <<= 1;
         if !self.cold || period != self.period {
             return false;
         }
-        self.completed = self.completed.saturating_add(1);
-        if !self.is_full() {
+        if !self.has_ramped() {
+            self.completed = self.completed.saturating_add(1);
             return false;
         }
-        let known = self.baseline.samples() >= BASELINE_SAMPLES;
-        let reference = if known { self.baseline.value() } else { group };
-        let ramp = self.cold_step.saturating_mul(self.slots.max(1));
-        let patient = self.completed >= ramp.saturating_mul(PATIENCE);
-        if patient {
-            self.baseline = Mean::new(recent.value());
+        self.completed = self.completed.saturating_add(1);
+        self.confirmation.add(latency);
+        let is_patient = self.completed >= self.patience(PATIENCE);
+        if is_patient {
+            self.baseline = Mean::known(self.confirmation.value(), BASELINE_SAMPLES);
         }
-        if patient || recent.value() <= reference * NORMAL {
+        // As many answers as one step of the ramp takes; the mean of fewer says little where service times vary.
+        let is_normal = self.confirmation.samples() >= self.cold_step
+            && self.confirmation.value() <= self.reference(usual) * NORMAL;
+        if is_patient || is_normal {
             self.cold = false;
             return true;
         }
@@ -115,19 +147,22 @@
     }
 
     /// Adds a latency sample to the baseline; returns whether the recent latency shows a cold start.
-    pub(crate) fn is_sharp(&mut self, sample: f64, recent: Mean) -> bool {
+    pub(crate) fn is_sharp(&mut self, sample: f64, recent: Mean, usual: f64) -> bool {
         if self.cold {
             return false;
         }
-        if self.baseline.samples() >= BASELINE_SAMPLES
-            && recent.value() > self.baseline.value() * SHARP_RISE
-        {
+        if recent.value() > self.reference(usual) * SHARP_RISE {
             return true;
         }
         self.baseline.add_slowly(sample, BASELINE_WEIGHT);
         false
     }
 
+    /// Returns the latency of a warm upstream: its own, or the group's until enough of its own is known.
+    fn reference(&self, usual: f64) -> f64 {
+        self.baseline().unwrap_or(usual)
+    }
+
     /// Counts a shed, refused or broken attempt; returns whether the failures show a cold start.
     pub(crate) fn fail(&mut self, outcome: Outcome) -> bool {
         self.failures = (self.failures << 1) | 1;
--- a/crates/kumquat-coordination/src/dispatch/latency.rs
+++ b/crates/kumquat-coordination/src/dispatch/latency.rs
@@ -33,6 +33,11 @@
         }
     }
 
+    /// Creates a mean that counts as the result of this many samples.
+    pub(crate) fn known(value: f64, samples: u32) -> Self {
+        Self { value, samples }
+    }
+
     pub(crate) fn add(&mut self, sample: f64) {
         self.add_slowly(sample, MEAN_WEIGHT);
     }
--- a/crates/kumquat-coordination/src/dispatch/retry.rs
+++ b/crates/kumquat-coordination/src/dispatch/retry.rs
@@ -117,8 +117,7 @@
                 let group = self.usual_latency();
                 let server = &mut self.servers[index];
                 server.outlier.succeed();
-                let recent = server.recent;
-                if server.ramp.complete(attempt.period, recent, group) {
+                if server.ramp.complete(attempt.period, latency, group) {
                     out.push(Action::Warm {
                         upstream: server.name.clone(),
                     });
@@ -174,7 +173,7 @@
         let clamped = latency.min(reference * outlier::CLAMP);
         server.recent.add(clamped);
         let recent = server.recent;
-        if server.ramp.is_sharp(clamped, recent) {
+        if server.ramp.is_sharp(clamped, recent, usual) {
             self.turn_cold(index, out);
         }
         if self.kind == Kind::Keyed {
@@ -183,8 +182,7 @@
         }
         let usual = self.usual_latency();
         let server = &mut self.servers[index];
-        let judged = !server.ramp.is_cold() || server.ramp.is_full();
-        if judged && server.outlier.judge(now, recent, usual) {
+        if server.ramp.has_ramped() && server.outlier.judge(now, recent, usual) {
             self.eject(now, index, out);
         }
     }
