Leave time to give the lease back at a planned stop

A stopping VM waits for its callers' connections for 0.95 of that time and then for the store, which may take another 0.8 s when it is silent or slow.

Ruled out: giving the lease back first; the VM's part of the rates is in use until its last request has ended.

--- a/crates/kumquat-router/src/caller.rs
+++ b/crates/kumquat-router/src/caller.rs
@@ -28,8 +28,10 @@
 /// rest of the time to be answered.
 const TAKING_PART_OF_GRACE: f64 = 0.5;
 
-/// Part of the time for a graceful shutdown after which the process ends in any case.
-const LAST_PART_OF_GRACE: f64 = 0.95;
+/// Part of the time for a graceful shutdown after which connections are closed in any case.
+///
+/// The process needs the rest of the time to give its lease back.
+const LAST_PART_OF_GRACE: f64 = 0.9;
 
 /// Interval at which a stopping VM looks whether it is done.
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
