--- a/crates/kumquat-coordination/src/dispatch/cold.rs
+++ b/crates/kumquat-coordination/src/dispatch/cold.rs
@@ -126,11 +126,11 @@
         if !self.cold || period != self.period {
             return false;
         }
-        if !self.has_ramped() {
-            self.completed = self.completed.saturating_add(1);
+        let had_ramped = self.has_ramped();
+        self.completed = self.completed.saturating_add(1);
+        if !had_ramped {
             return false;
         }
-        self.completed = self.completed.saturating_add(1);
         self.confirmation.add(latency);
         let is_patient = self.completed >= self.patience(PATIENCE);
         if is_patient {
