--- a/crates/kumquat-router/src/peers.rs
+++ b/crates/kumquat-router/src/peers.rs
@@ -6,7 +6,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use kumquat_coordination::fleet::{Usage, reports};
+use kumquat_coordination::fleet::Usage;
+use kumquat_coordination::fleet::reports::{self, Destinations};
 use kumquat_state::clock;
 use serde::{Deserialize, Serialize};
 use slog::debug;
@@ -161,21 +162,28 @@
     }
 
     /// Sends a report of this VM's own to all others.
-    fn post_all(&self, report: &mut Report, peers: &[Peer]) {
-        let identity = &self.vm.identity;
-        let centres: Vec<&str> = peers.iter().map(|peer| &*peer.data_centre).collect();
-        let destinations = reports::destinations(&identity.name, &identity.data_centre, &centres);
+    fn post_all(&self, report: &mut Report, peers: &[Peer], destinations: &Destinations) {
         let bytes = report.encode();
-        for position in destinations.direct {
-            self.post(&bytes, peers[position].address);
+        for position in &destinations.direct {
+            self.post(&bytes, peers[*position].address);
+        }
+        if destinations.forwarders.is_empty() {
+            return;
         }
         report.pass_on = true;
         let bytes = report.encode();
-        for position in destinations.forwarders {
-            self.post(&bytes, peers[position].address);
+        for position in &destinations.forwarders {
+            self.post(&bytes, peers[*position].address);
         }
     }
 
+    /// Returns where this VM sends its reports.
+    fn destinations(&self, peers: &[Peer]) -> Destinations {
+        let identity = &self.vm.identity;
+        let centres: Vec<&str> = peers.iter().map(|peer| &*peer.data_centre).collect();
+        reports::destinations(&identity.name, &identity.data_centre, &centres)
+    }
+
     /// Sends reports to the other VMs for as long as the process runs.
     pub async fn send(self: Rc<Self>) {
         let mut number = 0;
@@ -183,8 +191,14 @@
         let mut last_settled = None;
         let mut last_commit = 0;
         let mut last_full = clock::now();
+        let mut peers = self.vm.peers();
+        let mut destinations = self.destinations(&peers);
         loop {
-            let peers = self.vm.peers();
+            let known = self.vm.peers();
+            if !Rc::ptr_eq(&known, &peers) {
+                destinations = self.destinations(&known);
+                peers = known;
+            }
             let vms = peers.len() + 1;
             tokio::time::sleep(reports::changes_interval(vms)).await;
             let is_due = reports::is_full_due(vms, clock::now().saturating_since(last_full));
@@ -217,7 +231,7 @@
             }
             last_settled = settled;
             last_running = running;
-            self.post_all(&mut report, &peers);
+            self.post_all(&mut report, &peers, &destinations);
             if is_full {
                 self.send_keys();
             }
