Share the set-up of tests of cold upstreams and lost owners

Cause: a read of the whole change. Two tests of requests for keys without an owner opened the same router line by line, and dispatch_cold answered attempts in three places.

Ruled out: a shared test of both owners' cases, which would hide which one fails.

Change: one function each.

--- a/crates/kumquat-coordination/tests/dispatch_cold.rs
+++ b/crates/kumquat-coordination/tests/dispatch_cold.rs
@@ -20,6 +20,15 @@
     format!("upstream-{number}").parse().expect("a valid name")
 }
 
+/// Returns the attempts that leave.
+fn sent(actions: &[Action]) -> Vec<u64> {
+    let sent = actions.iter().filter_map(|action| match action {
+        Action::Send { attempt, .. } => Some(*attempt),
+        _ => None,
+    });
+    sent.collect()
+}
+
 /// A keyed group of two upstreams with its own time.
 struct Fixture {
     group: Group,
@@ -61,11 +70,16 @@
         };
         let mut actions = Vec::new();
         self.group.arrive(self.now, arrival, &mut actions);
-        let sent = actions.iter().filter_map(|action| match action {
-            Action::Send { attempt, .. } => Some(*attempt),
-            _ => None,
-        });
-        sent.collect()
+        sent(&actions)
+    }
+
+    /// Ends an attempt with an answer and returns the attempts that leave at once.
+    fn answer(&mut self, attempt: u64) -> Vec<u64> {
+        let outcome = Outcome::Completed { status_class: 2 };
+        let mut actions = Vec::new();
+        self.group
+            .on_answer(self.now, attempt, outcome, &mut actions);
+        sent(&actions)
     }
 
     /// Lets an upstream answer this many requests, one after the other.
@@ -74,10 +88,7 @@
             let sent = self.arrive(target);
             assert_eq!(sent.len(), 1, "an idle upstream gets its request");
             self.now = self.now + took;
-            let outcome = Outcome::Completed { status_class: 2 };
-            let mut actions = Vec::new();
-            self.group
-                .on_answer(self.now, sent[0], outcome, &mut actions);
+            self.answer(sent[0]);
         }
     }
 
@@ -136,19 +147,8 @@
         limited += usize::from(sent.len() < 2);
         fixture.now = fixture.now + COLD;
         for attempt in sent {
-            let outcome = Outcome::Completed { status_class: 2 };
-            let mut actions = Vec::new();
-            fixture
-                .group
-                .on_answer(fixture.now, attempt, outcome, &mut actions);
-            let waiting = actions.iter().filter_map(|action| match action {
-                Action::Send { attempt, .. } => Some(*attempt),
-                _ => None,
-            });
-            for attempt in waiting.collect::<Vec<_>>() {
-                fixture
-                    .group
-                    .on_answer(fixture.now, attempt, outcome, &mut Vec::new());
+            for waiting in fixture.answer(attempt) {
+                fixture.answer(waiting);
             }
         }
     }
--- a/crates/kumquat-router/tests/requests.rs
+++ b/crates/kumquat-router/tests/requests.rs
@@ -371,18 +371,24 @@
     });
 }
 
+/// Opens a router whose keys wait for an owner that is lost, after a first request for one of them.
+async fn open_with_lost_owner() -> (Upstream, fixture::router::Router) {
+    let new = Upstream::bind(&[Act::Answer("new")]).await;
+    let router = open(&[]).await;
+    router.vm.upsert_server(server("new", KEYED, &new));
+    router
+        .vm
+        .set_map(&KEYED.into(), owned_by("new", 2, &["lost"]));
+    send(router.address, &request("GET", "/keyed/a", "t1")).await;
+    pause(100).await;
+    (new, router)
+}
+
 /// Guards against callers who wait in vain for keys whose last owner has to be waited out.
 #[test]
 fn keys_without_an_owner_are_refused_at_once_after_a_while() {
     play(async {
-        let new = Upstream::bind(&[Act::Answer("new")]).await;
-        let router = open(&[]).await;
-        router.vm.upsert_server(server("new", KEYED, &new));
-        router
-            .vm
-            .set_map(&KEYED.into(), owned_by("new", 2, &["lost"]));
-        send(router.address, &request("GET", "/keyed/a", "t1")).await;
-        pause(100).await;
+        let (_new, router) = open_with_lost_owner().await;
         let started = Instant::now();
 
         let answer = send(router.address, &request("GET", "/keyed/a", "t2")).await;
@@ -490,14 +496,7 @@
 #[test]
 fn a_later_move_of_the_same_keys_is_waited_for() {
     play(async {
-        let new = Upstream::bind(&[Act::Answer("new")]).await;
-        let router = open(&[]).await;
-        router.vm.upsert_server(server("new", KEYED, &new));
-        router
-            .vm
-            .set_map(&KEYED.into(), owned_by("new", 2, &["lost"]));
-        send(router.address, &request("GET", "/keyed/a", "t1")).await;
-        pause(100).await;
+        let (_new, router) = open_with_lost_owner().await;
 
         router
             .vm
