Move the orders of the ownership coordinator into a module

The functions that derive them from the written map move to ownership/orders.rs unchanged, with the two intervals that only they use.

--- /dev/null
+++ b/crates/kumquat-coordination/src/fleet/ownership/orders.rs
@@ -0,0 +1,181 @@
+//! The `orders` module provides the grants and releases that follow from the written ownership map.
+
+use std::time::Duration;
+
+use kumquat_state::clock::Instant;
+
+use super::holder::HolderState;
+use super::{Action, Coordinator, Grant, GrantId, Holder, OwnedRange, Recall, with_safety_margin};
+
+/// Interval at which a grant that got no answer is sent again.
+const GRANT_RETRY_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Interval at which a release is sent again; an upstream answers only when its requests for the keys have ended.
+const RELEASE_RETRY_INTERVAL: Duration = Duration::from_millis(600);
+
+impl Coordinator {
+    /// Returns whether a holder can't hold keys any more, whichever of its orders arrived.
+    fn holds_no_grant(&mut self, now: Instant, holder: &Holder) -> bool {
+        // A newer incarnation under the same name holds none of the earlier one's grants.
+        let is_superseded = self.members.iter().any(|member| {
+            member.holder.name == holder.name && member.holder.incarnation > holder.incarnation
+        });
+        let state = self.holder_state(now, holder);
+        is_superseded || state.is_dead || state.has_expired(now)
+    }
+
+    pub(super) fn holder_state(&mut self, _now: Instant, holder: &Holder) -> &mut HolderState {
+        let position = match self
+            .holders
+            .binary_search_by(|state| state.holder.cmp(holder))
+        {
+            Ok(position) => position,
+            Err(position) => {
+                // A predecessor may have sent grants until this coordinator started.
+                let latest_expiry =
+                    self.started_at + with_safety_margin(self.timing.max_grant_duration);
+                let state = HolderState {
+                    holder: holder.clone(),
+                    latest_expiry,
+                    unanswered_expiry: Instant::ORIGIN,
+                    suspect_until: Instant::ORIGIN,
+                    in_flight_grants: Vec::new(),
+                    is_dead: false,
+                };
+                self.holders.insert(position, state);
+                position
+            }
+        };
+        &mut self.holders[position]
+    }
+
+    /// Appends the grants and releases that follow from the written map, and forgets those of ranges that are gone.
+    pub(super) fn push_orders(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let ranges = self.map.ranges.clone();
+        self.grants.retain(|grant| {
+            let is_current = |range: &OwnedRange| range.fencing_token == grant.fencing_token;
+            ranges.iter().any(is_current)
+        });
+        self.recalls.retain(|recall| {
+            let is_current = |range: &OwnedRange| {
+                range.fencing_token == recall.fencing_token
+                    && range.previous_owners.contains(&recall.holder)
+            };
+            ranges.iter().any(is_current)
+        });
+        for range in &ranges {
+            if self.push_releases(now, range, actions) {
+                self.push_grant(now, range, actions);
+            }
+        }
+    }
+
+    /// Appends the due releases to previous owners of a range; returns whether none of them can hold its keys any more.
+    fn push_releases(
+        &mut self,
+        now: Instant,
+        range: &OwnedRange,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let mut is_released_by_all = true;
+        for holder in &range.previous_owners {
+            if *holder == range.owner || self.holds_no_grant(now, holder) {
+                continue;
+            }
+            let state = self.holder_state(now, holder);
+            let (unanswered_expiry, has_in_flight_grant) =
+                (state.unanswered_expiry, !state.in_flight_grants.is_empty());
+            let found = self.recalls.iter().position(|recall| {
+                recall.fencing_token == range.fencing_token && recall.holder == *holder
+            });
+            let position = found.unwrap_or_else(|| {
+                self.recalls.push(Recall {
+                    holder: holder.clone(),
+                    keys: range.keys(),
+                    fencing_token: range.fencing_token,
+                    sent_at: None,
+                    is_released: false,
+                    handover: None,
+                });
+                self.recalls.len() - 1
+            });
+            let recall = &mut self.recalls[position];
+            if recall.is_released {
+                // An unanswered grant may still take effect after the release, until it expires.
+                is_released_by_all &= unanswered_expiry < now;
+                continue;
+            }
+            is_released_by_all = false;
+            let is_due = recall
+                .sent_at
+                .is_none_or(|sent_at| now.saturating_since(sent_at) >= RELEASE_RETRY_INTERVAL);
+            // A grant that is still in flight could arrive after the release.
+            if is_due && !has_in_flight_grant {
+                recall.sent_at = Some(now);
+                actions.push(Action::Release {
+                    holder: holder.clone(),
+                    keys: recall.keys.clone(),
+                    fencing_token: range.fencing_token,
+                });
+            }
+        }
+        is_released_by_all
+    }
+
+    fn push_grant(&mut self, now: Instant, range: &OwnedRange, actions: &mut Vec<Action>) {
+        let duration = if self.is_store_unreachable {
+            self.timing.max_grant_duration
+        } else {
+            self.timing.grant_duration
+        };
+        let found = self
+            .grants
+            .iter()
+            .position(|grant| grant.fencing_token == range.fencing_token);
+        let position = found.unwrap_or_else(|| {
+            self.grants.push(Grant {
+                fencing_token: range.fencing_token,
+                renewed_at: None,
+                sent_at: None,
+                duration,
+                consecutive_failures: 0,
+            });
+            self.grants.len() - 1
+        });
+        let grant = &mut self.grants[position];
+        let may_send = grant
+            .sent_at
+            .is_none_or(|sent_at| now.saturating_since(sent_at) >= GRANT_RETRY_INTERVAL);
+        let is_due = grant.renewed_at.is_none_or(|renewed_at| {
+            let is_too_short = duration > grant.duration;
+            is_too_short || now.saturating_since(renewed_at) >= self.timing.renewal_interval
+        });
+        if !may_send || !is_due {
+            return;
+        }
+        grant.sent_at = Some(now);
+        grant.duration = duration;
+        // Only the first grant carries the state that the previous owner handed over.
+        let is_first = grant.renewed_at.is_none();
+        let mut recalls = self.recalls.iter().filter(|_| is_first);
+        let handover = recalls.find_map(|recall| {
+            let handover = recall.handover.as_ref()?;
+            (recall.fencing_token == range.fencing_token).then(|| handover.clone())
+        });
+        let id = GrantId {
+            fencing_token: range.fencing_token,
+            sent_at: now,
+        };
+        let owner = self.holder_state(now, &range.owner);
+        owner
+            .in_flight_grants
+            .push((id, now + with_safety_margin(duration)));
+        actions.push(Action::Grant {
+            holder: range.owner.clone(),
+            keys: range.keys(),
+            id,
+            duration,
+            handover,
+        });
+    }
+}
