--- a/crates/kumquat-coordination/src/fleet/ownership.rs
+++ b/crates/kumquat-coordination/src/fleet/ownership.rs
@@ -138,6 +138,15 @@
         /// State that the previous owner returned with its release; only in a range's first grant, if there is any.
         handover: Option<String>,
     },
+    /// Log why no previous owner of a range can hold its keys any more; the owner's first grant follows.
+    LogClearance {
+        /// Keys of the range.
+        keys: KeyRange,
+        /// Fencing token of the new owner.
+        fencing_token: u64,
+        /// Previous owners, each with the evidence for it.
+        evidence: Vec<(Holder, Clearance)>,
+    },
     /// Ask an upstream to release keys.
     Release {
         /// Upstream that may hold the keys.
@@ -149,6 +158,35 @@
     },
 }
 
+/// The evidence that a previous owner holds none of a range's keys any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Clearance {
+    /// It is the range's owner again.
+    OwnerAgain,
+    /// It has released the keys.
+    Released,
+    /// Another process answers at its address.
+    Dead,
+    /// A later incarnation is registered under its name.
+    Superseded,
+    /// The last grant that it may have got has expired.
+    Expired,
+}
+
+impl Clearance {
+    /// Returns the name of the evidence in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::OwnerAgain => "owner-again",
+            Self::Released => "released",
+            Self::Dead => "dead",
+            Self::Superseded => "superseded",
+            Self::Expired => "expired",
+        }
+    }
+}
+
 /// Why a grant or a release failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderFailure {
--- a/crates/kumquat-coordination/src/fleet/ownership/orders.rs
+++ b/crates/kumquat-coordination/src/fleet/ownership/orders.rs
@@ -5,7 +5,9 @@
 use kumquat_state::clock::Instant;
 
 use super::holder::HolderState;
-use super::{Action, Coordinator, Grant, GrantId, Holder, OwnedRange, Recall, with_safety_margin};
+use super::{
+    Action, Clearance, Coordinator, Grant, GrantId, Holder, OwnedRange, Recall, with_safety_margin,
+};
 
 /// Interval at which a grant that got no answer is sent again.
 const GRANT_RETRY_INTERVAL: Duration = Duration::from_millis(150);
@@ -14,14 +16,20 @@
 const RELEASE_RETRY_INTERVAL: Duration = Duration::from_millis(600);
 
 impl Coordinator {
-    /// Returns whether a holder can't hold keys any more, whichever of its orders arrived.
-    fn holds_no_grant(&mut self, now: Instant, holder: &Holder) -> bool {
+    /// Returns the evidence that a holder can't hold keys any more, whichever of its orders arrived.
+    fn clearance(&mut self, now: Instant, holder: &Holder) -> Option<Clearance> {
         // A newer incarnation under the same name holds none of the earlier one's grants.
         let is_superseded = self.members.iter().any(|member| {
             member.holder.name == holder.name && member.holder.incarnation > holder.incarnation
         });
         let state = self.holder_state(now, holder);
-        is_superseded || state.is_dead || state.has_expired(now)
+        if is_superseded {
+            Some(Clearance::Superseded)
+        } else if state.is_dead {
+            Some(Clearance::Dead)
+        } else {
+            state.has_expired(now).then_some(Clearance::Expired)
+        }
     }
 
     pub(super) fn holder_state(&mut self, _now: Instant, holder: &Holder) -> &mut HolderState {
@@ -64,22 +72,49 @@
             ranges.iter().any(is_current)
         });
         for range in &ranges {
-            if self.push_releases(now, range, actions) {
+            if let Some(evidence) = self.push_releases(now, range, actions) {
+                self.push_clearance(range, evidence, actions);
                 self.push_grant(now, range, actions);
             }
         }
     }
 
-    /// Appends the due releases to previous owners of a range; returns whether none of them can hold its keys any more.
+    /// Appends the evidence by which the keys of a range are free, before the first grant to its owner.
+    fn push_clearance(
+        &self,
+        range: &OwnedRange,
+        evidence: Vec<(Holder, Clearance)>,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut grants = self.grants.iter();
+        let is_granted = grants.any(|grant| grant.fencing_token == range.fencing_token);
+        if !evidence.is_empty() && !is_granted {
+            actions.push(Action::LogClearance {
+                keys: range.keys(),
+                fencing_token: range.fencing_token,
+                evidence,
+            });
+        }
+    }
+
+    /// Appends the due releases to previous owners of a range.
+    ///
+    /// Returns the evidence for each of them that it can't hold keys of the range any more, or `None` if one still may.
     fn push_releases(
         &mut self,
         now: Instant,
         range: &OwnedRange,
         actions: &mut Vec<Action>,
-    ) -> bool {
+    ) -> Option<Vec<(Holder, Clearance)>> {
         let mut is_released_by_all = true;
+        let mut evidence = Vec::with_capacity(range.previous_owners.len());
         for holder in &range.previous_owners {
-            if *holder == range.owner || self.holds_no_grant(now, holder) {
+            if *holder == range.owner {
+                evidence.push((holder.clone(), Clearance::OwnerAgain));
+                continue;
+            }
+            if let Some(clearance) = self.clearance(now, holder) {
+                evidence.push((holder.clone(), clearance));
                 continue;
             }
             let state = self.holder_state(now, holder);
@@ -103,6 +138,7 @@
             if recall.is_released {
                 // An unanswered grant may still take effect after the release, until it expires.
                 is_released_by_all &= unanswered_expiry < now;
+                evidence.push((holder.clone(), Clearance::Released));
                 continue;
             }
             is_released_by_all = false;
@@ -119,7 +155,7 @@
                 });
             }
         }
-        is_released_by_all
+        is_released_by_all.then_some(evidence)
     }
 
     fn push_grant(&mut self, now: Instant, range: &OwnedRange, actions: &mut Vec<Action>) {
--- a/crates/kumquat-coordination/tests/fleet_grant_orders.rs
+++ b/crates/kumquat-coordination/tests/fleet_grant_orders.rs
@@ -114,6 +114,7 @@
         for action in actions {
             match action {
                 Action::Commit(map) => self.coordinator.on_committed(&map),
+                Action::LogClearance { .. } => {}
                 Action::Release { holder, .. } => {
                     let failure = OrderFailure::NoResponse;
                     self.coordinator
--- a/crates/kumquat-coordination/tests/fleet_ownership.rs
+++ b/crates/kumquat-coordination/tests/fleet_ownership.rs
@@ -104,7 +104,7 @@
                     Action::Grant { holder, .. } | Action::Release { holder, .. } => {
                         &*holder.name == "u1" && simulation.upstreams[0].refuses_in_partition
                     }
-                    Action::Commit(_) => false,
+                    Action::Commit(_) | Action::LogClearance { .. } => false,
                 };
                 match (&action, refused) {
                     (Action::Grant { holder, id, .. }, true) => {
@@ -197,6 +197,7 @@
     action: &Action,
 ) {
     match action {
+        Action::LogClearance { .. } => {}
         Action::Commit(map) => {
             simulation.map = map.clone();
             coordinator.on_committed(map);
--- a/crates/kumquat-coordination/tests/support/owners.rs
+++ b/crates/kumquat-coordination/tests/support/owners.rs
@@ -235,6 +235,7 @@
 
     fn run_action(&mut self, coordinator: &mut Coordinator, action: &Action) {
         match action {
+            Action::LogClearance { .. } => {}
             Action::Commit(map) => {
                 assert!(map.is_valid());
                 match self.random.random_range(0..10) {
@@ -352,7 +353,7 @@
                 upstream.release(keys, *fencing_token);
                 Ok(())
             }
-            Action::Commit(_) => Ok(()),
+            Action::Commit(_) | Action::LogClearance { .. } => Ok(()),
         }
     }
 
--- a/crates/kumquat-router/src/coordination.rs
+++ b/crates/kumquat-router/src/coordination.rs
@@ -238,6 +238,18 @@
                     );
                 }
             }
+            Action::LogClearance {
+                keys,
+                fencing_token,
+                evidence,
+            } => {
+                let evidence = evidence.iter().map(|(holder, clearance)| {
+                    let (name, born) = (&holder.name, holder.incarnation);
+                    format!("{name}/{born}:{}", clearance.as_str())
+                });
+                info!(self.vm.log, "keys free to grant"; "service" => &**service, "first" => keys.start(),
+                    "last" => keys.end(), "fence" => fencing_token, "previous" => evidence.collect::<Vec<_>>().join(","));
+            }
             Action::Grant {
                 holder,
                 keys,
--- a/crates/kumquat-router/src/metrics.rs
+++ b/crates/kumquat-router/src/metrics.rs
@@ -1,7 +1,8 @@
 //! The `metrics` module provides the Prometheus metrics of a VM.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// Upper bounds of the histogram buckets, spaced for deadlines between a tenth of a second and a few seconds.
@@ -23,6 +24,8 @@
     pub limited_upstream_sends: IntCounterVec,
     /// Calls to the store, by kind and outcome.
     pub store_calls: IntCounterVec,
+    /// Times that the store came back from an older copy of its data.
+    pub store_era_changes: IntCounter,
     /// Lines omitted from the access log because of its rate limits, by kind.
     pub omitted_log_lines: IntCounterVec,
     /// Time from a request's arrival until its response head is known, in seconds.
@@ -54,6 +57,11 @@
             registry.register(Box::new(histogram.clone()))?;
             Ok::<_, prometheus::Error>(histogram)
         };
+        let total = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
@@ -85,6 +93,10 @@
                 "Calls to the store.",
                 &["kind", "outcome"],
             )?,
+            store_era_changes: total(
+                "kumquat_vm_store_era_changes_total",
+                "Times that the store came back from an older copy of its data.",
+            )?,
             omitted_log_lines: counter(
                 "kumquat_vm_log_lines_omitted_total",
                 "Log lines that were left out to bound the volume.",
