Keep one owner of each key when the store comes back older

Callers saw two upstreams that both served the same keys (OWNER) after the store had come back from an older copy. Cause: fencing tokens, the ownership map and the coordinator's lease rest on what the store has acknowledged. The copy's map has a lower next token, so tokens were given out twice, and it doesn't name the upstreams that were granted keys in the lost seconds, so that a successor did not wait for their grants; the coordinator of before went on by a lease that the store had forgotten.

The store client takes the era that the store states in each response. A response of another era than the one in which its call was sent is an error of its own; the VM then gives up its lease and the coordinator's role, and registers again. Fencing tokens have the era in their upper bits, so they rise also if every VM that knew the highest is gone. A range with a token of an earlier era gets no order until its map is written with tokens of the present one, and that waits until no grant of the earlier era can hold: the end of any lease of that era plus the longest grant. A coordinator that held the lease until that era ended knows all grants and goes on without a wait. A VM keeps the newest map that it knows. On the first start of a deployment there are no earlier grants to wait for.

--- a/crates/kumquat-coordination/src/fleet.rs
+++ b/crates/kumquat-coordination/src/fleet.rs
@@ -20,8 +20,8 @@
 pub use bucket::TokenBucket;
 pub use budget::RetryBudget;
 pub use ownership::{
-    Action, Clearance, Coordinator, GrantId, Holder, KeyRange, Member, OrderFailure, OwnedRange,
-    OwnershipMap, OwnershipTiming,
+    Action, Clearance, Coordinator, Era, GrantId, Holder, KeyRange, Member, OrderFailure,
+    OwnedRange, OwnershipMap, OwnershipTiming, max_hold_time,
 };
 pub use rate::{RateDecision, RateLimiter, RateUsage};
 pub use split::WeightedRoundRobin;
--- a/crates/kumquat-coordination/src/fleet/ownership.rs
+++ b/crates/kumquat-coordination/src/fleet/ownership.rs
@@ -7,17 +7,20 @@
 //! grants of the longest duration up to the new coordinator's start. So no two upstreams hold a key at the same time.
 //! Grant and release requests to upstreams are called orders. See `docs/platform.md`.
 
+use std::cmp::Ordering;
 use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
 use kumquat_state::clock::Instant;
 
+mod era;
 mod holder;
 mod orders;
 mod plan;
 mod timing;
 
+pub use era::Era;
 pub use holder::GrantId;
 use holder::HolderState;
 pub use timing::OwnershipTiming;
@@ -88,6 +91,17 @@
         self.ranges.get(position)
     }
 
+    /// Returns whether this version of the map is newer than another one.
+    #[must_use]
+    pub fn supersedes(&self, other: &Self) -> bool {
+        // Each change uses fencing tokens, except one that only drops previous owners.
+        match self.next_fencing_token.cmp(&other.next_fencing_token) {
+            Ordering::Less => false,
+            Ordering::Equal => previous_owner_count(self) < previous_owner_count(other),
+            Ordering::Greater => true,
+        }
+    }
+
     /// Returns whether the ranges are in order, cover all keys without overlap and use only tokens below the next one.
     #[must_use]
     pub fn is_valid(&self) -> bool {
@@ -248,6 +262,9 @@
     // When the number of upstreams last changed; the first assignment of the keys waits for it to be stable.
     members_changed_at: Instant,
     is_store_unreachable: bool,
+    era: Era,
+    // When the last grant of an earlier era expires that this coordinator may not know of.
+    lost_grants_expire_at: Option<Instant>,
     // Since when a planned map that only drops previous owners has been waiting to be written.
     cleanup_pending_since: Option<Instant>,
 }
@@ -278,6 +295,8 @@
             rebalanced_at: now,
             members_changed_at: now,
             is_store_unreachable: false,
+            era: Era::default(),
+            lost_grants_expire_at: None,
             cleanup_pending_since: None,
         }
     }
@@ -329,11 +348,7 @@
 
     /// Reports a map that was read from the store; it is adopted if it is newer than the known one.
     pub fn on_map_observed(&mut self, map: &OwnershipMap) {
-        // Each change uses fencing tokens, except one that only drops previous owners.
-        let is_newer = map.next_fencing_token > self.map.next_fencing_token;
-        let has_fewer_previous_owners = map.next_fencing_token == self.map.next_fencing_token
-            && previous_owner_count(map) < previous_owner_count(&self.map);
-        if is_newer || has_fewer_previous_owners {
+        if map.supersedes(&self.map) {
             self.map = map.clone();
         }
     }
@@ -445,7 +460,8 @@
 }
 
 /// Returns the longest time for which a grant of this duration may hold, from its sending on the coordinator's clock.
-fn with_safety_margin(duration: Duration) -> Duration {
+#[must_use]
+pub fn max_hold_time(duration: Duration) -> Duration {
     duration.mul_f64(1.0 + MAX_CLOCK_DRIFT_FRACTION) + GRANT_DELIVERY_MARGIN
 }
 
--- a/crates/kumquat-coordination/src/fleet/ownership/orders.rs
+++ b/crates/kumquat-coordination/src/fleet/ownership/orders.rs
@@ -6,7 +6,7 @@
 
 use super::holder::HolderState;
 use super::{
-    Action, Clearance, Coordinator, Grant, GrantId, Holder, OwnedRange, Recall, with_safety_margin,
+    Action, Clearance, Coordinator, Grant, GrantId, Holder, OwnedRange, Recall, max_hold_time,
 };
 
 /// Interval at which a grant that got no answer is sent again.
@@ -40,8 +40,7 @@
             Ok(position) => position,
             Err(position) => {
                 // A predecessor may have sent grants until this coordinator started.
-                let latest_expiry =
-                    self.started_at + with_safety_margin(self.timing.max_grant_duration);
+                let latest_expiry = self.started_at + max_hold_time(self.timing.max_grant_duration);
                 let state = HolderState {
                     holder: holder.clone(),
                     latest_expiry,
@@ -72,6 +71,9 @@
             ranges.iter().any(is_current)
         });
         for range in &ranges {
+            if self.is_of_earlier_era(range) {
+                continue;
+            }
             if let Some(evidence) = self.push_releases(now, range, actions) {
                 self.push_clearance(range, evidence, actions);
                 self.push_grant(now, range, actions);
@@ -205,7 +207,7 @@
         let owner = self.holder_state(now, &range.owner);
         owner
             .in_flight_grants
-            .push((id, now + with_safety_margin(duration)));
+            .push((id, now + max_hold_time(duration)));
         actions.push(Action::Grant {
             holder: range.owner.clone(),
             keys: range.keys(),
--- a/crates/kumquat-coordination/src/fleet/ownership/plan.rs
+++ b/crates/kumquat-coordination/src/fleet/ownership/plan.rs
@@ -38,8 +38,11 @@
 impl Coordinator {
     /// Returns the map to write next, or none if nothing changes or a mere cleanup isn't due yet.
     pub(super) fn next_map(&mut self, now: Instant) -> Option<OwnershipMap> {
+        if self.awaits_lost_grants(now, &self.map) {
+            return None;
+        }
         let mut map = self.map.clone();
-        map.next_fencing_token = map.next_fencing_token.max(1);
+        self.renew_fencing_tokens(&mut map);
         self.clear_previous_owners(&mut map);
         if map.ranges.is_empty() {
             if now.saturating_since(self.members_changed_at) >= INITIAL_ASSIGNMENT_DELAY {
--- a/crates/kumquat-coordination/tests/fleet_ownership.rs
+++ b/crates/kumquat-coordination/tests/fleet_ownership.rs
@@ -55,7 +55,6 @@
 
 /// Guards against two owners of a key after the store has come back from an older copy, without the last maps and leases.
 #[test]
-#[ignore = "KNOWN-RED: owners_after_restore"]
 fn no_key_has_two_owners_when_the_store_comes_back_older() {
     for seed in 0..seeds() {
         let mut simulation = Simulation::new(seed, 6);
--- a/crates/kumquat-coordination/tests/support/owners.rs
+++ b/crates/kumquat-coordination/tests/support/owners.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use kumquat_coordination::fleet::{
-    Action, Coordinator, GrantId, Holder, KeyRange, Member, OrderFailure, OwnershipMap,
-    OwnershipTiming,
+    Action, Coordinator, Era, GrantId, Holder, KeyRange, Member, OrderFailure, OwnershipMap,
+    OwnershipTiming, max_hold_time,
 };
 use kumquat_state::clock::Instant;
 use rand::rngs::SmallRng;
@@ -98,6 +98,11 @@
     written_maps: Vec<(Instant, OwnershipMap)>,
     // A coordinator that has not noticed that the store came back from an older copy, and the end of its lease.
     stranded: Option<(Coordinator, Instant)>,
+    era: Era,
+    // When the present era began, if it isn't the first one.
+    restored_at: Option<Instant>,
+    // Newest map that some VM has in memory.
+    observed_map: OwnershipMap,
 }
 
 impl Simulation {
@@ -115,6 +120,9 @@
             commit_actions: 0,
             written_maps: Vec::new(),
             stranded: None,
+            era: Era::default(),
+            restored_at: None,
+            observed_map: OwnershipMap::default(),
         };
         for _ in 0..upstreams {
             simulation.start_upstream();
@@ -190,7 +198,19 @@
             return;
         }
         if self.now.saturating_since(self.lease_free_since) > LEASE_DURATION {
-            let coordinator = Coordinator::new(self.now, timing(), self.map.clone());
+            // The VM may have followed the store in the earlier era, or have started since.
+            let has_memory = self.is_one_in(2) && self.observed_map.supersedes(&self.map);
+            let map = if has_memory {
+                &self.observed_map
+            } else {
+                &self.map
+            };
+            let mut coordinator = Coordinator::new(self.now, timing(), map.clone());
+            if let Some(restored_at) = self.restored_at {
+                let expire_at =
+                    restored_at + LEASE_DURATION + max_hold_time(timing().max_grant_duration);
+                coordinator.begin_era(self.era, Some(expire_at));
+            }
             let length = self.random.random_range(5_000..40_000);
             self.coordinator = Some((coordinator, self.now + Duration::from_millis(length)));
         }
@@ -252,12 +272,20 @@
         self.written_maps.retain(|(at, _)| *at <= copied_at);
         let copy = self.written_maps.last();
         self.map = copy.map(|(_, map)| map.clone()).unwrap_or_default();
-        let renewed_at = Duration::from_millis(self.random.random_range(0..900));
-        let lease_end = self.now + (LEASE_DURATION - renewed_at);
-        self.stranded = self
-            .coordinator
-            .take()
-            .map(|(coordinator, end)| (coordinator, end.min(lease_end)));
+        self.era = Era(self.era.0 + 1);
+        self.restored_at = Some(self.now);
+        let lease_left = LEASE_DURATION.as_millis() - self.random.random_range(0..900);
+        let lease_end =
+            self.now + Duration::from_millis(u64::try_from(lease_left).expect("a short time"));
+        if let Some((mut coordinator, end)) = self.coordinator.take() {
+            if self.is_one_in(2) {
+                // It notices at once, stops, and is elected again.
+                coordinator.begin_era(self.era, None);
+                self.coordinator = Some((coordinator, end));
+                return;
+            }
+            self.stranded = Some((coordinator, end.min(lease_end)));
+        }
         let election_delay = Duration::from_millis(self.random.random_range(0..4_000));
         self.lease_free_since = self.now + election_delay - LEASE_DURATION;
     }
@@ -286,6 +314,9 @@
 
     fn record_written(&mut self, map: &OwnershipMap) {
         self.map = map.clone();
+        if self.is_one_in(2) && map.supersedes(&self.observed_map) {
+            self.observed_map = map.clone();
+        }
         self.written_maps.push((self.now, map.clone()));
     }
 
--- a/crates/kumquat-router/src/coordination.rs
+++ b/crates/kumquat-router/src/coordination.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use kumquat_coordination::fleet::{
-    Action, Coordinator, Holder, KeyRange, Member, OrderFailure, OwnershipMap, OwnershipTiming,
-    UpstreamInstance,
+    Action, Coordinator, Era, Holder, KeyRange, Member, OrderFailure, OwnershipMap,
+    OwnershipTiming, UpstreamInstance, max_hold_time,
 };
 use kumquat_state::clock::{self, Instant};
 use slog::{debug, info, warn};
@@ -53,6 +53,13 @@
     vm: Rc<Vm>,
     coordinators: RefCell<Vec<(Arc<str>, Coordinator)>>,
     lease_valid_until: Cell<Instant>,
+    // Era of the store; `None` for a store that states none.
+    era: Cell<Option<Era>>,
+    // When the last grant of an earlier era of the store expires that this VM may not know of.
+    lost_grants_expire_at: Cell<Option<Instant>>,
+    // Whether the coordinators are kept without the lease, because they know all grants of the earlier era.
+    keeps_coordinators: Cell<bool>,
+    has_no_earlier_grants: Cell<bool>,
     is_store_unreachable: Cell<bool>,
     last_commit_revision: Cell<u64>,
     commits: UnboundedSender<OwnershipCommit>,
@@ -66,6 +73,10 @@
             vm,
             coordinators: RefCell::default(),
             lease_valid_until: Cell::new(Instant::ORIGIN),
+            era: Cell::new(None),
+            lost_grants_expire_at: Cell::new(None),
+            keeps_coordinators: Cell::new(false),
+            has_no_earlier_grants: Cell::new(false),
             is_store_unreachable: Cell::new(false),
             last_commit_revision: Cell::new(0),
             commits,
@@ -83,8 +94,12 @@
     /// A VM that acquires the lease starts from the ownership maps that it has read from the store.
     pub fn extend_lease(&self, until: Instant) {
         if !self.has_lease() {
-            info!(self.vm.log, "coordinator's lease gained");
-            self.coordinators.borrow_mut().clear();
+            let keeps_coordinators = self.keeps_coordinators.take();
+            info!(self.vm.log, "coordinator's lease gained"; "era" => self.era.get().map(|era| era.0),
+                "keeps_grants" => keeps_coordinators);
+            if !keeps_coordinators {
+                self.coordinators.borrow_mut().clear();
+            }
         }
         self.lease_valid_until
             .set(self.lease_valid_until.get().max(until));
@@ -96,9 +111,45 @@
             info!(self.vm.log, "coordinator's lease lost");
         }
         self.lease_valid_until.set(Instant::ORIGIN);
+        self.drop_coordinators();
+    }
+
+    fn drop_coordinators(&self) {
+        self.keeps_coordinators.set(false);
         self.coordinators.borrow_mut().clear();
     }
 
+    /// States that the whole deployment starts for the first time, so that no grant was sent before this process started.
+    pub fn assume_no_earlier_grants(&self) {
+        self.has_no_earlier_grants.set(true);
+    }
+
+    /// Gives up the lease, because the store is in another era and may have given the lease to another VM.
+    ///
+    /// Coordinators of the earlier era hold leases until `earlier_leases_end` at the latest, and send grants until then.
+    /// If this VM held the lease up to now, its coordinators know all grants, and go on once it has the lease again.
+    pub fn begin_era(&self, era: Era, earlier_leases_end: Instant) {
+        let is_first = self.era.replace(Some(era)).is_none();
+        if is_first && self.has_no_earlier_grants.get() {
+            return;
+        }
+        let expire_at = earlier_leases_end + max_hold_time(self.max_grant_duration());
+        self.lost_grants_expire_at.set(Some(expire_at));
+        if !self.has_lease() && !self.keeps_coordinators.get() {
+            self.drop_coordinators();
+            return;
+        }
+        self.lease_valid_until.set(Instant::ORIGIN);
+        self.keeps_coordinators.set(true);
+        for (_, coordinator) in &mut *self.coordinators.borrow_mut() {
+            coordinator.begin_era(era, None);
+        }
+    }
+
+    fn max_grant_duration(&self) -> Duration {
+        self.vm.bounds.max_grant_duration.min(MAX_GRANT_DURATION)
+    }
+
     /// Sets whether the store is unreachable, in which case grants get the maximum duration.
     pub fn set_store_unreachable(&self, is_unreachable: bool) {
         self.is_store_unreachable.set(is_unreachable);
@@ -156,6 +207,16 @@
     ///
     /// It can be newer than the last confirmed write, if the result of a write is unknown.
     pub fn on_map_observed(&self, service: &Arc<str>, map: &OwnershipMap) {
+        if self.keeps_coordinators.get() && !self.has_lease() {
+            let coordinators = self.coordinators.borrow();
+            let own = sorted::get(&coordinators, &**service);
+            let is_newer = own.is_some_and(|own| map.supersedes(own.map()));
+            drop(coordinators);
+            // Another coordinator has acted since, so that this VM no longer knows all grants.
+            if is_newer {
+                self.drop_coordinators();
+            }
+        }
         self.with_coordinator(service, |coordinator| coordinator.on_map_observed(map));
     }
 
@@ -172,7 +233,7 @@
             tokio::time::sleep(TICK_INTERVAL).await;
             if self.has_lease() {
                 self.tick();
-            } else if !self.coordinators.borrow().is_empty() {
+            } else if !self.keeps_coordinators.get() && !self.coordinators.borrow().is_empty() {
                 self.resign();
             }
         }
@@ -184,14 +245,18 @@
             return;
         };
         let keyed = config.services.iter().filter(|service| service.is_keyed);
-        let max_grant_duration = self.vm.bounds.max_grant_duration.min(MAX_GRANT_DURATION);
+        let max_grant_duration = self.max_grant_duration();
         let mut coordinators = self.coordinators.borrow_mut();
         for service in keyed {
             let members = self.members(now, &service.name);
             let timing = OwnershipTiming::for_upstreams(members.len(), max_grant_duration);
             let coordinator = sorted::get_or_insert_with(&mut coordinators, &*service.name, || {
                 let map = self.vm.ownership_map(&service.name).unwrap_or_default();
-                let coordinator = Coordinator::new(now, timing, map);
+                let mut coordinator = Coordinator::new(now, timing, map);
+                coordinator.begin_era(
+                    self.era.get().unwrap_or_default(),
+                    self.lost_grants_expire_at.get(),
+                );
                 (Arc::clone(&service.name), coordinator)
             });
             coordinator.set_timing(timing);
--- a/crates/kumquat-router/src/vm.rs
+++ b/crates/kumquat-router/src/vm.rs
@@ -310,9 +310,17 @@
         self.state.borrow().coordinator.clone()
     }
 
-    /// Sets the ownership map of a service as read from the store.
+    /// Sets the ownership map of a service as read from the store, unless this VM knows a newer one.
+    ///
+    /// A store that has come back from an older copy holds an older map, whose owners may have released their keys.
     pub fn set_ownership_map(self: &Rc<Self>, service: &Arc<str>, map: OwnershipMap) {
         let mut state = self.state.borrow_mut();
+        if state
+            .ownership_map(service)
+            .is_some_and(|current| !map.supersedes(current))
+        {
+            return;
+        }
         let moving = map
             .ranges
             .iter()
