Release the keys of an upstream that restarted under its name

Cause: orders name an upstream, not its incarnation. One that restarts under its name accepts the grants that are still sent for its earlier incarnation. When it registers, the coordinator took that as proof that the earlier one holds nothing and granted the keys to another upstream at once, while the new incarnation still held them. The run missed it because its upstreams checked the incarnation and registered without delay.

Change: a registered incarnation is no evidence about the holder of a grant. A release goes to whichever incarnation is registered under the name; grants for an earlier one are not sent. If the later incarnation is the new owner, nothing has to be released. In the run an upstream now registers up to 3 s after its restart, and orders reach it by name; a process that ends takes its delayed orders with it.

--- a/crates/kumquat-coordination/src/fleet/ownership.rs
+++ b/crates/kumquat-coordination/src/fleet/ownership.rs
@@ -33,7 +33,7 @@
 
 /// Consecutive failed grants of a range after which its owner is treated as lost and its keys are reassigned.
 ///
-/// Grants that fail with [`OrderFailure::BackedOff`] don't count.
+/// Grants that were not carried out at the upstream's wish, or not sent, don't count.
 const MAX_CONSECUTIVE_GRANT_FAILURES: u32 = 4;
 
 /// Time for which an upstream that was treated as lost or has seen a higher fencing token is assigned no keys.
@@ -175,14 +175,12 @@
 /// The evidence that a previous owner holds none of a range's keys any more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Clearance {
-    /// It is the range's owner again.
+    /// It, or a later incarnation in its place, is the range's owner again.
     OwnerAgain,
     /// It has released the keys.
     Released,
     /// Another process answers at its address.
     Dead,
-    /// A later incarnation is registered under its name.
-    Superseded,
     /// The last grant that it may have got has expired.
     Expired,
 }
@@ -195,7 +193,6 @@
             Self::OwnerAgain => "owner-again",
             Self::Released => "released",
             Self::Dead => "dead",
-            Self::Superseded => "superseded",
             Self::Expired => "expired",
         }
     }
@@ -217,6 +214,8 @@
     StaleFencingToken,
     /// The upstream asked to be sent nothing for a time, so the order took no effect.
     BackedOff,
+    /// Another incarnation is registered under the holder's name, so the grant was not sent.
+    Superseded,
 }
 
 /// Progress of the grant for one range of the written map.
@@ -399,7 +398,8 @@
             .grants
             .iter_mut()
             .find(|grant| grant.fencing_token == id.fencing_token);
-        if let (Some(grant), true) = (grant, failure != OrderFailure::BackedOff) {
+        let shows_loss = !matches!(failure, OrderFailure::BackedOff | OrderFailure::Superseded);
+        if let (Some(grant), true) = (grant, shows_loss) {
             grant.consecutive_failures += 1;
             is_lost = grant.consecutive_failures >= MAX_CONSECUTIVE_GRANT_FAILURES;
         }
--- a/crates/kumquat-coordination/src/fleet/ownership/orders.rs
+++ b/crates/kumquat-coordination/src/fleet/ownership/orders.rs
@@ -17,15 +17,12 @@
 
 impl Coordinator {
     /// Returns the evidence that a holder can't hold keys any more, whichever of its orders arrived.
+    ///
+    /// A later incarnation under the same name is no evidence: until it registers, it accepts grants that are meant for
+    /// the earlier one, because orders name the upstream only.
     fn clearance(&mut self, now: Instant, holder: &Holder) -> Option<Clearance> {
-        // A newer incarnation under the same name holds none of the earlier one's grants.
-        let is_superseded = self.members.iter().any(|member| {
-            member.holder.name == holder.name && member.holder.incarnation > holder.incarnation
-        });
         let state = self.holder_state(now, holder);
-        if is_superseded {
-            Some(Clearance::Superseded)
-        } else if state.is_dead {
+        if state.is_dead {
             Some(Clearance::Dead)
         } else {
             state.has_expired(now).then_some(Clearance::Expired)
@@ -111,7 +108,7 @@
         let mut is_released_by_all = true;
         let mut evidence = Vec::with_capacity(range.previous_owners.len());
         for holder in &range.previous_owners {
-            if *holder == range.owner {
+            if holder.name == range.owner.name {
                 evidence.push((holder.clone(), Clearance::OwnerAgain));
                 continue;
             }
--- a/crates/kumquat-coordination/tests/support/owners.rs
+++ b/crates/kumquat-coordination/tests/support/owners.rs
@@ -27,6 +27,9 @@
 #[derive(Debug)]
 pub struct Upstream {
     pub holder: Holder,
+    // Incarnation in the registry, which learns of a restart later.
+    registered_incarnation: u64,
+    registers_at: Instant,
     pub is_up: bool,
     pub is_registered: bool,
     // Until when it neither receives nor answers anything.
@@ -141,6 +144,8 @@
                 name: Arc::from(format!("u{}", self.last_upstream_number)),
                 incarnation: 1,
             },
+            registered_incarnation: 1,
+            registers_at: Instant::ORIGIN,
             is_up: true,
             is_registered: true,
             partitioned_until: Instant::ORIGIN,
@@ -160,12 +165,21 @@
             let index = self.random_upstream();
             self.upstreams[index].is_up = false;
             self.upstreams[index].grants.clear();
+            let name = Arc::clone(&self.upstreams[index].holder.name);
+            self.delayed_orders.retain(|(.., action)| match action {
+                Action::Grant { holder, .. } | Action::Release { holder, .. } => {
+                    holder.name != name
+                }
+                Action::Commit(_) | Action::LogClearance { .. } => true,
+            });
         }
         if self.is_one_in(120) {
             // A new incarnation under the same name holds no grants.
             let index = self.random_upstream();
+            let registers_after = Duration::from_millis(self.random.random_range(0..3_000));
             if !self.upstreams[index].is_up {
                 let upstream = &mut self.upstreams[index];
+                upstream.registers_at = self.now + registers_after;
                 upstream.is_up = true;
                 upstream.is_registered = true;
                 upstream.holder.incarnation += 1;
@@ -223,7 +237,10 @@
             .filter(|upstream| upstream.is_registered);
         registered
             .map(|upstream| Member {
-                holder: upstream.holder.clone(),
+                holder: Holder {
+                    name: Arc::clone(&upstream.holder.name),
+                    incarnation: upstream.registered_incarnation,
+                },
                 may_own: true,
                 is_warm: true,
                 capacity: 1.0,
@@ -237,6 +254,11 @@
         self.inject_faults();
         self.elect_coordinator();
         self.deliver_delayed_orders();
+        for upstream in &mut self.upstreams {
+            if self.now >= upstream.registers_at {
+                upstream.registered_incarnation = upstream.holder.incarnation;
+            }
+        }
         self.run_stranded();
         let members = self.members();
         let requested_keys: Vec<u16> = (0..20)
@@ -375,8 +397,9 @@
             return Err(OrderFailure::NoResponse);
         };
         let upstream = &self.upstreams[index];
-        if upstream.holder.incarnation != holder.incarnation {
-            return Err(OrderFailure::Dead);
+        let is_grant = matches!(action, Action::Grant { .. });
+        if is_grant && upstream.registered_incarnation != holder.incarnation {
+            return Err(OrderFailure::Superseded);
         }
         if !upstream.is_up {
             return Err(OrderFailure::ConnectionRefused);
@@ -414,7 +437,7 @@
         let found = self
             .upstreams
             .iter_mut()
-            .find(|upstream| upstream.holder == *holder);
+            .find(|upstream| upstream.holder.name == holder.name);
         let Some(upstream) = found.filter(|upstream| upstream.is_up) else {
             return Err(OrderFailure::NoResponse);
         };
--- a/crates/kumquat-router/src/coordination.rs
+++ b/crates/kumquat-router/src/coordination.rs
@@ -385,8 +385,12 @@
     ) -> Result<UpstreamResponse, OrderFailure> {
         let result = match self.vm.upstream(&holder.name) {
             None => Err((OrderFailure::NoResponse, "never registered".to_owned())),
-            Some(upstream) if upstream.incarnation != holder.incarnation => {
-                Err((OrderFailure::Dead, "another life is registered".to_owned()))
+            // A release is sent to whichever incarnation there is: it may have accepted grants for an earlier one.
+            Some(upstream) if kind == "grant" && upstream.incarnation != holder.incarnation => {
+                Err((
+                    OrderFailure::Superseded,
+                    "another incarnation is registered".to_owned(),
+                ))
             }
             // Releases are sent during a backoff too: they relieve an overloaded upstream, which never refuses them.
             Some(upstream)
@@ -414,6 +418,7 @@
             Err((OrderFailure::NoResponse, _)) => "silent",
             Err((OrderFailure::StaleFencingToken, _)) => "outdated",
             Err((OrderFailure::BackedOff, _)) => "held_off",
+            Err((OrderFailure::Superseded, _)) => "superseded",
         };
         self.vm
             .metrics
