Send each order to an upstream on a connection of its own

Cause: grants and releases went over pooled connections that had carried requests, and their answers have no id. A late or repeated answer to an earlier exchange counts as the order's: a 421 as proof that the owner is dead, a 200 as its release, a 409 or 503 as proof that a grant was not applied. Each of these lets the coordinator grant keys to another upstream while the first one holds them.

Change: an order is the first message on its connection, which serves requests afterwards, whose answers have ids.

Evidence: an_order_is_the_first_message_on_its_connection failed before with GET, POST /grant, POST /grant, POST /grant on one connection.

--- a/crates/kumquat-router/src/coordination.rs
+++ b/crates/kumquat-router/src/coordination.rs
@@ -437,7 +437,7 @@
         result.map_err(|(failure, _)| failure)
     }
 
-    /// Posts a call to an upstream and maps its status to the outcome of the order.
+    /// Posts a call to an upstream on a new connection and maps its status to the outcome of the order.
     ///
     /// Nothing is sent once the lease has expired.
     async fn call(
@@ -455,16 +455,13 @@
         );
         let mut bytes = head.into_bytes();
         bytes.extend_from_slice(&body);
-        let pooled = self.vm.pool.borrow_mut().take(upstream.address);
-        let mut wire = match pooled {
-            Some((wire, _)) => wire,
-            None => match upstream::connect(upstream.address, upstream::CONNECT_TIMEOUT).await {
-                Ok(wire) => wire,
-                Err(ExchangeError::ConnectionRefused) => {
-                    return Err((OrderFailure::ConnectionRefused, "refused".to_owned()));
-                }
-                Err(error) => return Err(no_response(error)),
-            },
+        // The answer to an order has no id, so on a connection with earlier exchanges it could be a late or repeated one.
+        let mut wire = match upstream::connect(upstream.address, upstream::CONNECT_TIMEOUT).await {
+            Ok(wire) => wire,
+            Err(ExchangeError::ConnectionRefused) => {
+                return Err((OrderFailure::ConnectionRefused, "refused".to_owned()));
+            }
+            Err(error) => return Err(no_response(error)),
         };
         // The lease may have expired while the connection was established.
         if !self.has_lease() {
