Keep an upstream's largest number of slots from overflowing

Cause: the table added the requests that may queue at an upstream to the slots of its entry without a bound.

Ruled out: the other sums over entries, loads and reports of peers saturate already (reported_requests_beyond_any_number_leave_an_upstream_full).

Change: the sum saturates.

That an entry can claim so many slots at all is a fault of its own.

--- a/crates/kumquat-coordination/src/fleet/table.rs
+++ b/crates/kumquat-coordination/src/fleet/table.rs
@@ -454,7 +454,7 @@
     fn is_available(&mut self, now: Instant, index: usize, in_flight: u32) -> bool {
         let may_send_in_warmup = self.may_send_in_warmup(&self.rows[index]);
         let row = &mut self.rows[index];
-        let is_full = in_flight >= row.upstream.slots + MAX_QUEUED_AT_UPSTREAM;
+        let is_full = in_flight >= row.upstream.slots.saturating_add(MAX_QUEUED_AT_UPSTREAM);
         let is_paused = row.ejected_until > now || row.backoff_until > now;
         let is_warmup_limited =
             row.is_warming_up(now) && (!may_send_in_warmup || row.warmup_bucket.wait_at(now) > 0.0);
--- a/crates/kumquat-coordination/tests/fleet_table.rs
+++ b/crates/kumquat-coordination/tests/fleet_table.rs
@@ -75,6 +75,20 @@
     assert_eq!(selected, None);
 }
 
+/// Guards against a limit that wraps around for the largest number of slots, or ends the process.
+#[test]
+fn an_upstream_with_the_largest_number_of_slots_takes_requests() {
+    let upstream = UpstreamInstance {
+        slots: u32::MAX,
+        ..upstream("one", "dc-a")
+    };
+    let mut table = table(1, &[upstream]);
+
+    let selected: Vec<_> = (0..4).map(|_| select(&mut table, at(1))).collect();
+
+    assert!(selected.iter().all(Option::is_some), "{selected:?}");
+}
+
 /// Guards against an upstream that stays excluded because of the last report of a VM that has died.
 #[test]
 fn reports_of_a_silent_vm_expire() {
