Decode the items of a store's answer one by one

Cause: an answer of the store was decoded as a whole. One item with a field out of range or of another type, a value that is not base64, or nesting beyond the decoder's depth made the whole page or watch an error, which the VM met again at each repetition: it stopped following the store for good.

Ruled out: leaving such an item out altogether. What it replaced would stay in use, so that it stands with an empty value, which each decoder rejects with a log line. The store's own messages stay strict.

Change: each item is taken as its JSON text and decoded by itself (serde_json's raw_value, which skips any nesting and number without recursion). Items without a readable key or revision are left out and counted in kumquat_vm_unreadable_store_items_total. A page that ends in no new key is an error, not the end of the items.

--- a/crates/kumquat-router/src/metrics.rs
+++ b/crates/kumquat-router/src/metrics.rs
@@ -23,6 +23,8 @@
     pub limited_upstream_sends: IntCounterVec,
     /// Calls to the store, by kind and outcome.
     pub store_calls: IntCounterVec,
+    /// Items in answers of the store that were left out because their key or revision can't be read, by kind of call.
+    pub unreadable_store_items: IntCounterVec,
     /// Lines omitted from the access log because of its rate limits, by kind.
     pub omitted_log_lines: IntCounterVec,
     /// Time from a request's arrival until its response head is known, in seconds.
@@ -85,6 +87,11 @@
                 "Calls to the store.",
                 &["kind", "outcome"],
             )?,
+            unreadable_store_items: counter(
+                "kumquat_vm_unreadable_store_items_total",
+                "Items in answers of the store without a readable key or revision.",
+                &["kind"],
+            )?,
             omitted_log_lines: counter(
                 "kumquat_vm_log_lines_omitted_total",
                 "Log lines that were left out to bound the volume.",
