Refuse a chunk-size line without digits

Cause: the parser of chunk sizes takes an empty line, or one that starts with a space or an extension, for the size 0. Where a chunk size was missing, the body counted as complete: a caller got a 200 with an empty or short body, framed as whole, and the connection was used again.

Ruled out: a chunk or its line end that is cut off, a size beyond 64 bits, and digits after a space; these are errors already.

Change: a chunk-size line has to start with a hexadecimal digit, in answers and in requests.

--- a/crates/kumquat-router/src/http/body.rs
+++ b/crates/kumquat-router/src/http/body.rs
@@ -156,6 +156,11 @@
 /// Reads and consumes a chunk-size line.
 async fn read_chunk_size(connection: &mut HttpConnection) -> Result<usize> {
     loop {
+        // The parser takes a line without digits for the size 0, which ends the body.
+        let first = connection.unread().first();
+        if first.is_some_and(|byte| !byte.is_ascii_hexdigit()) {
+            return Err(Error::Malformed("chunk size"));
+        }
         match httparse::parse_chunk_size(connection.unread()) {
             Ok(httparse::Status::Complete((line_length, size))) => {
                 connection.consume(line_length);
--- a/crates/kumquat-router/tests/messages.rs
+++ b/crates/kumquat-router/tests/messages.rs
@@ -86,6 +86,30 @@
     }
 }
 
+/// Guards against a body that counts as complete where a chunk size is missing.
+#[tokio::test]
+async fn a_chunk_size_without_digits_is_no_end_of_a_body() {
+    for body in [
+        "\r\n\r\n",
+        ";x=y\r\n\r\n",
+        " \r\n\r\n",
+        "3\r\nabc\r\n\r\n\r\n",
+    ] {
+        let text = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{body}");
+        let mut connection = connection_with_input(&text, 1_000).await;
+        let head = connection.read_response_head().await.expect("a head");
+
+        let read = connection
+            .read_body(head.framing("GET").expect("a framing"), 100)
+            .await;
+
+        assert!(
+            matches!(read, Err(Error::Malformed(_))),
+            "{body:?}: {read:?}"
+        );
+    }
+}
+
 /// Guards against a chunk size that overflows or makes the VM run out of memory.
 #[tokio::test]
 async fn a_chunk_size_above_the_body_limit_is_an_error() {
