Refuse answers with a transfer coding other than chunked

Cause: an answer with "Transfer-Encoding: gzip, chunked" was read as chunked, and one with "gzip" alone as a body that ends with its connection. The field concerns one connection and isn't relayed, so that callers got coded bytes, or the framing itself, as a body framed as whole.

Ruled out: requests, whose framing was strict already; the check is now shared.

Change: an answer with any Transfer-Encoding but one field "chunked" is malformed, and its outcome unknown.

--- a/crates/kumquat-router/src/http.rs
+++ b/crates/kumquat-router/src/http.rs
@@ -150,24 +150,14 @@
     /// Returns an error if `Content-Length` or `Transfer-Encoding` is malformed, or both are present: a proxy and an
     /// upstream that disagree about the end of a request allow request smuggling.
     pub fn framing(&self) -> Result<Framing> {
-        let is_chunked = self.headers.get_all("transfer-encoding").next().is_some();
+        let is_chunked = is_chunked(&self.headers)?;
         let length = content_length(&self.headers)?;
         match (is_chunked, length) {
             (true, Some(_)) => Err(Error::Malformed(
                 "both Content-Length and Transfer-Encoding",
             )),
-            (true, None) => {
-                let mut transfer_codings = self.headers.get_all("transfer-encoding");
-                let is_only_chunked = transfer_codings
-                    .next()
-                    .is_some_and(|value| value.eq_ignore_ascii_case(b"chunked"))
-                    && transfer_codings.next().is_none();
-                if is_only_chunked && !self.is_http_1_0 {
-                    Ok(Framing::Chunked)
-                } else {
-                    Err(Error::Malformed("Transfer-Encoding"))
-                }
-            }
+            (true, None) if self.is_http_1_0 => Err(Error::Malformed("Transfer-Encoding")),
+            (true, None) => Ok(Framing::Chunked),
             (false, Some(0) | None) => Ok(Framing::Empty),
             (false, Some(length)) => Ok(Framing::Length(length)),
         }
@@ -195,16 +185,14 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if `Content-Length` is malformed, or present together with the chunked transfer coding.
+    /// Returns an error if `Content-Length` is malformed or present together with `Transfer-Encoding`, or the latter is
+    /// another one than chunked.
     pub fn framing(&self, method: &str) -> Result<Framing> {
         if method == "HEAD" || self.status == 204 || self.status == 304 {
             return Ok(Framing::Empty);
         }
         let length = content_length(&self.headers)?;
-        match (
-            self.headers.contains_token("transfer-encoding", "chunked"),
-            length,
-        ) {
+        match (is_chunked(&self.headers)?, length) {
             (true, Some(_)) => Err(Error::Malformed(
                 "both Content-Length and Transfer-Encoding",
             )),
@@ -224,6 +212,16 @@
     }
 }
 
+/// Returns whether the body uses the chunked transfer coding; any other coding is an error.
+fn is_chunked(headers: &Headers) -> Result<bool> {
+    let mut values = headers.get_all("transfer-encoding");
+    match (values.next(), values.next()) {
+        (None, _) => Ok(false),
+        (Some(value), None) if value.eq_ignore_ascii_case(b"chunked") => Ok(true),
+        _ => Err(Error::Malformed("Transfer-Encoding")),
+    }
+}
+
 fn content_length(headers: &Headers) -> Result<Option<usize>> {
     let mut values = headers.get_all("content-length");
     let Some(first) = values.next() else {
--- a/crates/kumquat-router/tests/messages.rs
+++ b/crates/kumquat-router/tests/messages.rs
@@ -110,6 +110,29 @@
     }
 }
 
+/// Guards against a coded body that is relayed without the name of its coding, or in which framing is taken for content.
+#[tokio::test]
+async fn a_transfer_coding_other_than_chunked_is_an_error() {
+    for field in [
+        "gzip, chunked",
+        "gzip",
+        "chunked, chunked",
+        "xchunked",
+        "chunked\r\nTransfer-Encoding: gzip",
+    ] {
+        let text = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: {field}\r\n\r\nabc");
+        let mut connection = connection_with_input(&text, 1_000).await;
+        let head = connection.read_response_head().await.expect("a head");
+
+        let framing = head.framing("GET");
+
+        assert!(
+            matches!(framing, Err(Error::Malformed(_))),
+            "{field}: {framing:?}"
+        );
+    }
+}
+
 /// Guards against a chunk size that overflows or makes the VM run out of memory.
 #[tokio::test]
 async fn a_chunk_size_above_the_body_limit_is_an_error() {
