Take no refusal without an id for an answer on a reused connection

Cause: an answer that names no request, but says that it did not run, was taken as the answer to the request at hand on any connection. A faulty target that wrote an earlier refusal once more on a kept connection thereby had the next request answered "not run, try again" while it ran: REFUSED, and TWICE once the caller came back or the router sent it to a second target.

Ruled out: a repeated refusal that names its request. Waiting likewise past a refusal without an id: it may be the only answer that comes, and the request would be held until its deadline.

Change: a connection knows whether it has had an answer. On one that has, an answer without the id proves nothing: the outcome is unknown and the connection given up. On a new connection it can only be the request's own, as before.

--- a/crates/kumquat-router/src/http/connection.rs
+++ b/crates/kumquat-router/src/http/connection.rs
@@ -51,6 +51,7 @@
     stream: TcpStream,
     buffer: Vec<u8>,
     has_discarded_input: bool,
+    has_had_response: bool,
 }
 
 impl HttpConnection {
@@ -69,6 +70,7 @@
             stream,
             buffer: Vec::new(),
             has_discarded_input: false,
+            has_had_response: false,
         }
     }
 
@@ -116,6 +118,12 @@
         self.has_discarded_input
     }
 
+    /// Returns whether a final response was read from the connection, which the peer may repeat.
+    #[must_use]
+    pub const fn has_had_response(&self) -> bool {
+        self.has_had_response
+    }
+
     /// Returns the bytes that were read and not consumed.
     pub(super) fn unread(&self) -> &[u8] {
         &self.buffer
@@ -296,6 +304,7 @@
         loop {
             while let Some(head) = self.parse_response_head(search_from)? {
                 if head.status >= 200 {
+                    self.has_had_response = true;
                     return Ok(head);
                 }
                 search_from = 0;
--- a/crates/kumquat-router/src/upstream.rs
+++ b/crates/kumquat-router/src/upstream.rs
@@ -129,6 +129,7 @@
 ) -> Result<UpstreamResponse, ExchangeError> {
     let mut written_bytes = 0;
     for _ in 0..=MAX_SKIPPED_RESPONSES {
+        let may_be_repeated = wire.has_had_response();
         let head = wire
             .write_and_read_response_head(request.bytes, &mut written_bytes)
             .await
@@ -143,6 +144,10 @@
                 .map_err(ExchangeError::OutcomeUnknown)?;
             continue;
         }
+        if may_be_repeated && lacks_id(&head, request.attempt_id, dialect) {
+            let error = Error::Aborted("answer without an id on a reused connection");
+            return Err(ExchangeError::OutcomeUnknown(error));
+        }
         let (mut body, mut unread_body) = (Vec::new(), BodyReader::new(framing));
         while !unread_body.is_complete() && body.len() < max_body_bytes {
             let max_read_bytes = max_body_bytes - body.len();
@@ -193,6 +198,13 @@
     }
 }
 
+/// Returns whether a response lacks the id that a response to this request has to repeat.
+///
+/// On a new connection it answers this request all the same; on others it may repeat an earlier refusal.
+fn lacks_id(head: &ResponseHead, id: Option<&str>, dialect: &Dialect) -> bool {
+    id.is_some() && head.headers.get_str(dialect.attempt_id_header) != id
+}
+
 /// Returns whether a response states that the upstream did not execute the request.
 #[must_use]
 pub fn is_not_executed(head: &ResponseHead, dialect: &Dialect) -> bool {
