Send a retry to a tried address on a new connection

Cause: after a refusal the connection went back to the pool, and a retry of the same request to the same address took it again: the owner of a key is tried twice, and two upstreams can be registered at one address. A faulty target that wrote the refusal once more answered the retry with it, and the id was right, since a retry has the id of the first attempt. The caller was told "not run" while the retry ran (REFUSED), or the request went to a further target (TWICE).

Ruled out: keeping a connection out of the pool after each refusal. Under overload most answers are refusals, and each would cost a new connection; a retry to the same address is rare.

Change: a request remembers the addresses it was sent to and takes no pooled connection to one of them. Other requests have other ids, by which a repeated answer is told apart.

--- a/crates/kumquat-router/src/gateway.rs
+++ b/crates/kumquat-router/src/gateway.rs
@@ -1,6 +1,7 @@
 //! The `gateway` module provides the proxying of requests: admission, choice of an upstream, retries and the response.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -135,6 +136,8 @@
 struct RequestProgress {
     /// Names of the upstreams of all attempts, in order; some were not reached.
     tried_upstreams: Vec<Arc<str>>,
+    /// Addresses to which the request was sent; two upstreams can have the same.
+    sent_to: Vec<SocketAddr>,
     /// Attempts that were sent over an established connection.
     sent_count: u32,
     /// Responses with status 421.
--- a/crates/kumquat-router/src/gateway/attempt.rs
+++ b/crates/kumquat-router/src/gateway/attempt.rs
@@ -30,7 +30,12 @@
         let upstream_name = Arc::clone(&placed.upstream.name);
         let address = placed.upstream.address;
         progress.tried_upstreams.push(Arc::clone(&upstream_name));
-        let pooled = self.vm.pool.borrow_mut().take(address);
+        // The answer to an earlier attempt may be repeated on its connection, and has the same id.
+        let pooled = if progress.sent_to.contains(&address) {
+            None
+        } else {
+            self.vm.pool.borrow_mut().take(address)
+        };
         let idle_time = pooled.as_ref().map(|(_, idle_time)| *idle_time);
         let wire = if let Some((wire, _)) = pooled {
             Ok(wire)
@@ -61,6 +66,7 @@
         };
         self.vm.record_send(&placed.upstream, kind);
         progress.sent_count += 1;
+        progress.sent_to.push(address);
         self.flags.must_finish.set(!self.route.is_idempotent);
         let request = upstream::UpstreamRequest {
             method: &self.received.head.method,
--- a/crates/kumquat-router/tests/repeated_answers.rs
+++ b/crates/kumquat-router/tests/repeated_answers.rs
@@ -5,7 +5,8 @@
 }
 
 use fixture::router::{
-    ScriptedUpstream, UpstreamAction, request, run_local_test, send_request, start_router, status,
+    KEYED, POOL, ScriptedUpstream, UpstreamAction, registration, request, run_local_test,
+    send_request, single_owner_map, start_router, status,
 };
 
 /// Refusal that names the request.
@@ -38,3 +39,30 @@
         });
     }
 }
+
+/// Guards against a retry that is taken for refused, by the refusal of the attempt before it, while it runs.
+#[test]
+fn a_repeated_refusal_does_not_refuse_the_retry_at_the_same_address() {
+    // The owner of a key is tried twice; two upstreams can be registered at one address.
+    for (service, path) in [(KEYED, "/keyed/a"), (POOL, "/once/a")] {
+        run_local_test(async {
+            let script = [
+                UpstreamAction::RawTwice(REFUSAL),
+                UpstreamAction::Answer("ran"),
+            ];
+            let upstream = ScriptedUpstream::bind(&script).await;
+            let router = start_router(&[]);
+            for name in ["u0", "u1"] {
+                let registration = registration(name, service, &upstream);
+                router.vm.upsert_upstream(registration);
+            }
+            let map = single_owner_map("u0", 1, &[]);
+            router.vm.set_ownership_map(&KEYED.into(), map);
+
+            let response = send_request(router.address, &request("GET", path, "t1")).await;
+
+            assert!(response.ends_with("ran"), "{path}: {response}");
+            assert_eq!(upstream.requests().len(), 2, "{path}");
+        });
+    }
+}
