Take no answer that bears two ids

Cause: of an answer with several ids only the first was compared, and one that is not UTF-8 counted as none.

Ruled out: a cut at other places. Run into a status line, a field name or a length, the merged head is malformed.

Change: an answer with any other id than the request's belongs to another request. It is skipped like before.

--- a/crates/kumquat-router/src/upstream.rs
+++ b/crates/kumquat-router/src/upstream.rs
@@ -190,19 +190,22 @@
 
 /// Returns whether a response belongs to another request than the one with this id.
 fn is_for_other_request(head: &ResponseHead, id: Option<&str>, dialect: &Dialect) -> bool {
-    match (head.headers.get_str(dialect.attempt_id_header), id) {
-        (Some(echoed_id), Some(id)) => echoed_id != id,
-        // A response without the id is accepted only if it states that the request was not executed.
-        (None, Some(_)) => !is_not_executed(head, dialect),
-        (_, None) => false,
-    }
+    let Some(id) = id else {
+        return false;
+    };
+    // A head that was cut can run into the next one, and then has the ids of both.
+    let mut echoed_ids = head.headers.get_all(dialect.attempt_id_header);
+    let has_other_id = echoed_ids.any(|echoed_id| echoed_id != id.as_bytes());
+    // A response without the id is accepted only if it states that the request was not executed.
+    has_other_id || (lacks_id(head, Some(id), dialect) && !is_not_executed(head, dialect))
 }
 
-/// Returns whether a response lacks the id that a response to this request has to repeat.
+/// Returns whether a response lacks an id although the request has one.
 ///
 /// On a new connection it answers this request all the same; on others it may repeat an earlier refusal.
 fn lacks_id(head: &ResponseHead, id: Option<&str>, dialect: &Dialect) -> bool {
-    id.is_some() && head.headers.get_str(dialect.attempt_id_header) != id
+    let mut echoed_ids = head.headers.get_all(dialect.attempt_id_header);
+    id.is_some() && echoed_ids.next().is_none()
 }
 
 /// Returns whether a response states that the upstream did not execute the request.
--- a/crates/kumquat-router/tests/repeated_answers.rs
+++ b/crates/kumquat-router/tests/repeated_answers.rs
@@ -66,3 +66,17 @@
         });
     }
 }
+
+/// Guards against a success with another request's body, after the head of the own answer was cut and run into it.
+#[test]
+fn an_answer_with_two_ids_is_no_answer_to_either() {
+    let merged = "HTTP/1.1 200 OK\r\nX-Try: ID\r\nX-Sign: sHTTP/1.1 200 OK\r\nX-Try: t0\r\nX-Sign: s\r\nContent-Length: 6\r\n\r\nothers";
+    run_local_test(async {
+        let upstream = ScriptedUpstream::bind(&[UpstreamAction::RawAndClose(merged)]).await;
+        let router = start_router(&[&upstream]);
+
+        let response = send_request(router.address, &request("GET", "/once/a", "t1")).await;
+
+        assert_eq!(status(&response), 502, "{response}");
+    });
+}
