Saturate an instant that is read in milliseconds

Cause: an upstream of the dispatching product states its clock in whole milliseconds in its answer to a grant. A number above 1.8e16 overflowed when it was taken in microseconds: the clock wrapped to some early time, or the task of the answer ended where overflow is checked.

Ruled out: sums and differences of instants, which saturate already. The other readings in milliseconds are constants.

Change: the conversion saturates like the sums.

--- a/crates/kumquat-state/src/clock.rs
+++ b/crates/kumquat-state/src/clock.rs
@@ -29,10 +29,10 @@
         Self(micros)
     }
 
-    /// Creates an instant from milliseconds since the origin.
+    /// Creates an instant from milliseconds since the origin; a number beyond the range gives the latest instant.
     #[must_use]
     pub const fn from_millis(millis: u64) -> Self {
-        Self(millis * 1_000)
+        Self(millis.saturating_mul(1_000))
     }
 
     /// Returns the microseconds since the origin.
