Keep the limit of a body from overflowing

Cause: the reader of a whole body added 1 to its limit, and the bytes that the peer announces to those it has. With the largest limit that fits, which an operator may set for "no limit", the first sum wraps to 0: the reader took no byte at a time and never handed the processor back. With such a limit and a chunk size of 64 bits the second wraps too. A build with overflow checks ends the task.

Ruled out: bodies of answers to requests, which are read in pieces against a constant.

Change: both sums saturate.

--- a/crates/kumquat-router/src/http/connection.rs
+++ b/crates/kumquat-router/src/http/connection.rs
@@ -389,12 +389,10 @@
         let mut body = Vec::new();
         let mut reader = BodyReader::new(framing);
         while !reader.is_complete() {
-            if reader.announced_bytes() > max_bytes
-                || body.len() + reader.announced_bytes() > max_bytes
-            {
+            if body.len().saturating_add(reader.announced_bytes()) > max_bytes {
                 return Err(Error::TooLarge("body"));
             }
-            let max_read_bytes = max_bytes + 1 - body.len();
+            let max_read_bytes = max_bytes.saturating_add(1) - body.len();
             reader.read_element(self, &mut body, max_read_bytes).await?;
             if body.len() > max_bytes {
                 return Err(Error::TooLarge("body"));
--- a/crates/kumquat-router/tests/messages.rs
+++ b/crates/kumquat-router/tests/messages.rs
@@ -153,6 +153,33 @@
     }
 }
 
+/// Guards against a sum of sizes that wraps around, after which the read never ends, or that ends the process.
+#[tokio::test]
+async fn a_body_limit_of_any_size_is_kept() {
+    let bodies = [
+        "Content-Length: 3\r\n\r\nabc",
+        "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+    ];
+    for body in bodies {
+        let mut connection =
+            connection_with_input(&format!("HTTP/1.1 200 OK\r\n{body}"), 1_000).await;
+        let head = connection.read_response_head().await.expect("a head");
+        let framing = head.framing("GET").expect("a framing");
+
+        let read = connection.read_body(framing, usize::MAX).await;
+
+        assert_eq!(read.expect("a body"), b"abc", "{body}");
+    }
+    let text =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nffffffffffffffff\r\nabc";
+    let mut connection = connection_with_input(text, 1_000).await;
+    let _head = connection.read_response_head().await.expect("a head");
+
+    let read = connection.read_body(Framing::Chunked, usize::MAX).await;
+
+    assert!(matches!(read, Err(Error::Truncated)), "{read:?}");
+}
+
 /// Guards against an interim response that is taken for the final one.
 #[tokio::test]
 async fn interim_responses_are_skipped() {
