Take no answer to a request for one to an order

Cause: orders to upstreams share the pooled connections of requests and have no id, and an answer to a request without an id was taken whatever id it bore. A late or repeated answer to an earlier request on the connection counted as the answer to a grant or release: a 200 as carried out, although the upstream had rejected the order, a 421 as the end of the upstream.

Ruled out: nothing of orders' own answers; they bear no id, so that one that is repeated can't be told apart here. An empty id counts as none.

Change: an answer with an id is skipped where the request has none.

--- a/crates/kumquat-router/src/upstream.rs
+++ b/crates/kumquat-router/src/upstream.rs
@@ -49,7 +49,7 @@
     pub method: &'a str,
     /// Head and body as they are written to the connection.
     pub bytes: &'a [u8],
-    /// Attempt id that the response must repeat; absent for requests without one.
+    /// Attempt id that the response must repeat; absent for requests without one, whose response has none either.
     pub attempt_id: Option<&'a str>,
 }
 
@@ -190,22 +190,24 @@
 
 /// Returns whether a response belongs to another request than the one with this id.
 fn is_for_other_request(head: &ResponseHead, id: Option<&str>, dialect: &Dialect) -> bool {
-    let Some(id) = id else {
-        return false;
-    };
-    // A head that was cut can run into the next one, and then has the ids of both.
-    let mut echoed_ids = head.headers.get_all(dialect.attempt_id_header);
-    let has_other_id = echoed_ids.any(|echoed_id| echoed_id != id.as_bytes());
+    // A head that was cut can run into the next one, and then has the ids of both. An order has no id to repeat.
+    let has_other_id =
+        echoed_ids(head, dialect).any(|echoed_id| Some(echoed_id) != id.map(str::as_bytes));
     // A response without the id is accepted only if it states that the request was not executed.
-    has_other_id || (lacks_id(head, Some(id), dialect) && !is_not_executed(head, dialect))
+    has_other_id || (lacks_id(head, id, dialect) && !is_not_executed(head, dialect))
 }
 
 /// Returns whether a response lacks an id although the request has one.
 ///
 /// On a new connection it answers this request all the same; on others it may repeat an earlier refusal.
 fn lacks_id(head: &ResponseHead, id: Option<&str>, dialect: &Dialect) -> bool {
-    let mut echoed_ids = head.headers.get_all(dialect.attempt_id_header);
-    id.is_some() && echoed_ids.next().is_none()
+    id.is_some() && echoed_ids(head, dialect).next().is_none()
+}
+
+/// Returns the ids in a response; an empty one, as in an answer to a request without an id, is none.
+fn echoed_ids<'a>(head: &'a ResponseHead, dialect: &Dialect) -> impl Iterator<Item = &'a [u8]> {
+    let ids = head.headers.get_all(dialect.attempt_id_header);
+    ids.filter(|id| !id.is_empty())
 }
 
 /// Returns whether a response states that the upstream did not execute the request.
--- a/crates/kumquat-router/tests/repeated_answers.rs
+++ b/crates/kumquat-router/tests/repeated_answers.rs
@@ -5,9 +5,10 @@
 }
 
 use fixture::router::{
-    KEYED, POOL, ScriptedUpstream, UpstreamAction, registration, request, run_local_test,
+    DIALECT, KEYED, POOL, ScriptedUpstream, UpstreamAction, registration, request, run_local_test,
     send_request, single_owner_map, start_router, status,
 };
+use kumquat_router::upstream;
 
 /// Refusal that names the request.
 const REFUSAL: &str = "HTTP/1.1 503 Full\r\nX-Try: ID\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
@@ -80,3 +81,33 @@
         assert_eq!(status(&response), 502, "{response}");
     });
 }
+
+/// Guards against an order that counts as carried out because of a late answer to a request.
+#[test]
+fn an_answer_to_a_request_is_no_answer_to_an_order() {
+    let answer = "HTTP/1.1 200 OK\r\nX-Try: ID\r\nX-Sign: s\r\nContent-Length: 4\r\n\r\nfine";
+    let rejection = "HTTP/1.1 409 Conflict\r\nX-Try: \r\nContent-Length: 0\r\n\r\n";
+    run_local_test(async {
+        let script = [
+            UpstreamAction::RawTwice(answer),
+            UpstreamAction::Raw(rejection),
+        ];
+        let upstream = ScriptedUpstream::bind(&script).await;
+        let connected = upstream::connect(upstream.address, upstream::CONNECT_TIMEOUT).await;
+        let mut connection = connected.expect("a connection");
+        let mut statuses = Vec::new();
+        for attempt_id in [Some("t1"), None] {
+            let bytes = request("POST", "/grant", "t1");
+            let request = upstream::UpstreamRequest {
+                method: "POST",
+                bytes: bytes.as_bytes(),
+                attempt_id,
+            };
+
+            let response = upstream::exchange(&mut connection, &request, &DIALECT, 1_000).await;
+
+            statuses.push(response.expect("an answer").head.status);
+        }
+        assert_eq!(statuses, [200, 409]);
+    });
+}
