Decode the entries of the list of VMs one by one

Cause: the dispatching product decoded the platform's list of VMs as a whole. One odd entry (an address with a port out of range, a field missing, deep nesting) made each read fail, so that VMs that were about to be stopped handed nothing over and new ones were not connected to.

Ruled out: a wrong list as a fault of its own. The list is a hint only, and one that shows most of the cell as leaving is not believed.

Change: each entry is decoded by itself, and one that can't be read is left out. The bound on their number holds for all.

--- a/crates/kumquat-transport/src/list.rs
+++ b/crates/kumquat-transport/src/list.rs
@@ -8,6 +8,7 @@
 
 use kumquat_state::ident;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use crate::upstream::chain;
 
@@ -72,7 +73,7 @@
         })
     }
 
-    /// Reads the list.
+    /// Reads the list; entries that can't be read are left out, so that an odd one costs no other.
     ///
     /// # Errors
     ///
@@ -91,14 +92,17 @@
             }
             bytes.extend_from_slice(&part);
         }
-        let vms: Vec<Vm> =
+        let entries: Vec<&RawValue> =
             serde_json::from_slice(&bytes).map_err(|error| Error(error.to_string()))?;
-        if vms.len() > LIMIT {
+        if entries.len() > LIMIT {
             return Err(Error(format!(
                 "{} VMs, expected at most {LIMIT}",
-                vms.len()
+                entries.len()
             )));
         }
-        Ok(vms)
+        let vms = entries
+            .iter()
+            .map(|entry| serde_json::from_str(entry.get()));
+        Ok(vms.filter_map(Result::ok).collect())
     }
 }
