--- a/crates/kumquat-router/src/metrics.rs
+++ b/crates/kumquat-router/src/metrics.rs
@@ -26,6 +26,8 @@
     pub store_calls: IntCounterVec,
     /// Times that the store came back from an older copy of its data.
     pub store_era_changes: IntCounter,
+    /// Items in answers of the store that were left out because their key or revision can't be read, by kind of call.
+    pub unreadable_store_items: IntCounterVec,
     /// Lines omitted from the access log because of its rate limits, by kind.
     pub omitted_log_lines: IntCounterVec,
     /// Time from a request's arrival until its response head is known, in seconds.
@@ -97,6 +99,11 @@
                 "kumquat_vm_store_era_changes_total",
                 "Times that the store came back from an older copy of its data.",
             )?,
+            unreadable_store_items: counter(
+                "kumquat_vm_unreadable_store_items_total",
+                "Items in answers of the store without a readable key or revision.",
+                &["kind"],
+            )?,
             omitted_log_lines: counter(
                 "kumquat_vm_log_lines_omitted_total",
                 "Log lines that were left out to bound the volume.",
--- a/crates/kumquat-router/src/upstream.rs
+++ b/crates/kumquat-router/src/upstream.rs
@@ -49,7 +49,7 @@
     pub method: &'a str,
     /// Head and body as they are written to the connection.
     pub bytes: &'a [u8],
-    /// Attempt id that the response must repeat; absent for requests without one.
+    /// Attempt id that the response must repeat; absent for requests without one, whose response has none either.
     pub attempt_id: Option<&'a str>,
 }
 
@@ -129,6 +129,7 @@
 ) -> Result<UpstreamResponse, ExchangeError> {
     let mut written_bytes = 0;
     for _ in 0..=MAX_SKIPPED_RESPONSES {
+        let may_be_repeated = wire.has_had_response();
         let head = wire
             .write_and_read_response_head(request.bytes, &mut written_bytes)
             .await
@@ -143,6 +144,10 @@
                 .map_err(ExchangeError::OutcomeUnknown)?;
             continue;
         }
+        if may_be_repeated && lacks_id(&head, request.attempt_id, dialect) {
+            let error = Error::Aborted("answer without an id on a reused connection");
+            return Err(ExchangeError::OutcomeUnknown(error));
+        }
         let (mut body, mut unread_body) = (Vec::new(), BodyReader::new(framing));
         while !unread_body.is_complete() && body.len() < max_body_bytes {
             let max_read_bytes = max_body_bytes - body.len();
@@ -185,12 +190,24 @@
 
 /// Returns whether a response belongs to another request than the one with this id.
 fn is_for_other_request(head: &ResponseHead, id: Option<&str>, dialect: &Dialect) -> bool {
-    match (head.headers.get_str(dialect.attempt_id_header), id) {
-        (Some(echoed_id), Some(id)) => echoed_id != id,
-        // A response without the id is accepted only if it states that the request was not executed.
-        (None, Some(_)) => !is_not_executed(head, dialect),
-        (_, None) => false,
-    }
+    // A head that was cut can run into the next one, and then has the ids of both. An order has no id to repeat.
+    let has_other_id =
+        echoed_ids(head, dialect).any(|echoed_id| Some(echoed_id) != id.map(str::as_bytes));
+    // A response without the id is accepted only if it states that the request was not executed.
+    has_other_id || (lacks_id(head, id, dialect) && !is_not_executed(head, dialect))
+}
+
+/// Returns whether a response lacks an id although the request has one.
+///
+/// On a new connection it answers this request all the same; on others it may repeat an earlier refusal.
+fn lacks_id(head: &ResponseHead, id: Option<&str>, dialect: &Dialect) -> bool {
+    id.is_some() && echoed_ids(head, dialect).next().is_none()
+}
+
+/// Returns the ids in a response; an empty one, as in an answer to a request without an id, is none.
+fn echoed_ids<'a>(head: &'a ResponseHead, dialect: &Dialect) -> impl Iterator<Item = &'a [u8]> {
+    let ids = head.headers.get_all(dialect.attempt_id_header);
+    ids.filter(|id| !id.is_empty())
 }
 
 /// Returns whether a response states that the upstream did not execute the request.
