--- a/crates/kumquat-coordination/src/fleet/ownership.rs
+++ b/crates/kumquat-coordination/src/fleet/ownership.rs
@@ -7,16 +7,20 @@
 //! grants of the longest duration up to the new coordinator's start. So no two upstreams hold a key at the same time.
 //! Grant and release requests to upstreams are called orders. See `docs/platform.md`.
 
+use std::cmp::Ordering;
 use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
 use kumquat_state::clock::Instant;
 
+mod era;
 mod holder;
+mod orders;
 mod plan;
 mod timing;
 
+pub use era::Era;
 pub use holder::GrantId;
 use holder::HolderState;
 pub use timing::OwnershipTiming;
@@ -27,15 +31,9 @@
 /// Time added to a grant's expiry for the delay between sending the request and its arrival at the upstream.
 const GRANT_DELIVERY_MARGIN: Duration = Duration::from_millis(400);
 
-/// Interval at which a grant that got no answer is sent again.
-const GRANT_RETRY_INTERVAL: Duration = Duration::from_millis(150);
-
-/// Interval at which a release is sent again; an upstream answers only when its requests for the keys have ended.
-const RELEASE_RETRY_INTERVAL: Duration = Duration::from_millis(600);
-
 /// Consecutive failed grants of a range after which its owner is treated as lost and its keys are reassigned.
 ///
-/// Grants that fail with [`OrderFailure::BackedOff`] don't count.
+/// Grants that were not carried out at the upstream's wish, or not sent, don't count.
 const MAX_CONSECUTIVE_GRANT_FAILURES: u32 = 4;
 
 /// Time for which an upstream that was treated as lost or has seen a higher fencing token is assigned no keys.
@@ -93,6 +91,17 @@
         self.ranges.get(position)
     }
 
+    /// Returns whether this version of the map is newer than another one.
+    #[must_use]
+    pub fn supersedes(&self, other: &Self) -> bool {
+        // Each change uses fencing tokens, except one that only drops previous owners.
+        match self.next_fencing_token.cmp(&other.next_fencing_token) {
+            Ordering::Less => false,
+            Ordering::Equal => previous_owner_count(self) < previous_owner_count(other),
+            Ordering::Greater => true,
+        }
+    }
+
     /// Returns whether the ranges are in order, cover all keys without overlap and use only tokens below the next one.
     #[must_use]
     pub fn is_valid(&self) -> bool {
@@ -143,6 +152,15 @@
         /// State that the previous owner returned with its release; only in a range's first grant, if there is any.
         handover: Option<String>,
     },
+    /// Log why no previous owner of a range can hold its keys any more; the owner's first grant follows.
+    LogClearance {
+        /// Keys of the range.
+        keys: KeyRange,
+        /// Fencing token of the new owner.
+        fencing_token: u64,
+        /// Previous owners, each with the evidence for it.
+        evidence: Vec<(Holder, Clearance)>,
+    },
     /// Ask an upstream to release keys.
     Release {
         /// Upstream that may hold the keys.
@@ -154,6 +172,32 @@
     },
 }
 
+/// The evidence that a previous owner holds none of a range's keys any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Clearance {
+    /// It, or a later incarnation in its place, is the range's owner again.
+    OwnerAgain,
+    /// It has released the keys.
+    Released,
+    /// Another process answers at its address.
+    Dead,
+    /// The last grant that it may have got has expired.
+    Expired,
+}
+
+impl Clearance {
+    /// Returns the name of the evidence in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::OwnerAgain => "owner-again",
+            Self::Released => "released",
+            Self::Dead => "dead",
+            Self::Expired => "expired",
+        }
+    }
+}
+
 /// Why a grant or a release failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderFailure {
@@ -170,6 +214,8 @@
     StaleFencingToken,
     /// The upstream asked to be sent nothing for a time, so the order took no effect.
     BackedOff,
+    /// Another incarnation is registered under the holder's name, so the grant was not sent.
+    Superseded,
 }
 
 /// Progress of the grant for one range of the written map.
@@ -215,6 +261,9 @@
     // When the number of upstreams last changed; the first assignment of the keys waits for it to be stable.
     members_changed_at: Instant,
     is_store_unreachable: bool,
+    era: Era,
+    // When the last grant of an earlier era expires that this coordinator may not know of.
+    lost_grants_expire_at: Option<Instant>,
     // Since when a planned map that only drops previous owners has been waiting to be written.
     cleanup_pending_since: Option<Instant>,
 }
@@ -245,6 +294,8 @@
             rebalanced_at: now,
             members_changed_at: now,
             is_store_unreachable: false,
+            era: Era::default(),
+            lost_grants_expire_at: None,
             cleanup_pending_since: None,
         }
     }
@@ -296,11 +347,7 @@
 
     /// Reports a map that was read from the store; it is adopted if it is newer than the known one.
     pub fn on_map_observed(&mut self, map: &OwnershipMap) {
-        // Each change uses fencing tokens, except one that only drops previous owners.
-        let is_newer = map.next_fencing_token > self.map.next_fencing_token;
-        let has_fewer_previous_owners = map.next_fencing_token == self.map.next_fencing_token
-            && previous_owner_count(map) < previous_owner_count(&self.map);
-        if is_newer || has_fewer_previous_owners {
+        if map.supersedes(&self.map) {
             self.map = map.clone();
         }
     }
@@ -351,7 +398,8 @@
             .grants
             .iter_mut()
             .find(|grant| grant.fencing_token == id.fencing_token);
-        if let (Some(grant), true) = (grant, failure != OrderFailure::BackedOff) {
+        let shows_loss = !matches!(failure, OrderFailure::BackedOff | OrderFailure::Superseded);
+        if let (Some(grant), true) = (grant, shows_loss) {
             grant.consecutive_failures += 1;
             is_lost = grant.consecutive_failures >= MAX_CONSECUTIVE_GRANT_FAILURES;
         }
@@ -409,175 +457,11 @@
     pub fn on_release_failed(&mut self, now: Instant, holder: &Holder, failure: OrderFailure) {
         self.record_failure(now, holder, failure);
     }
-
-    /// Returns whether a holder can't hold keys any more, whichever of its orders arrived.
-    fn holds_no_grant(&mut self, now: Instant, holder: &Holder) -> bool {
-        // A newer incarnation under the same name holds none of the earlier one's grants.
-        let is_superseded = self.members.iter().any(|member| {
-            member.holder.name == holder.name && member.holder.incarnation > holder.incarnation
-        });
-        let state = self.holder_state(now, holder);
-        is_superseded || state.is_dead || state.has_expired(now)
-    }
-
-    fn holder_state(&mut self, _now: Instant, holder: &Holder) -> &mut HolderState {
-        let position = match self
-            .holders
-            .binary_search_by(|state| state.holder.cmp(holder))
-        {
-            Ok(position) => position,
-            Err(position) => {
-                // A predecessor may have sent grants until this coordinator started.
-                let latest_expiry =
-                    self.started_at + with_safety_margin(self.timing.max_grant_duration);
-                let state = HolderState {
-                    holder: holder.clone(),
-                    latest_expiry,
-                    unanswered_expiry: Instant::ORIGIN,
-                    suspect_until: Instant::ORIGIN,
-                    in_flight_grants: Vec::new(),
-                    is_dead: false,
-                };
-                self.holders.insert(position, state);
-                position
-            }
-        };
-        &mut self.holders[position]
-    }
-
-    /// Appends the grants and releases that follow from the written map, and forgets those of ranges that are gone.
-    fn push_orders(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let ranges = self.map.ranges.clone();
-        self.grants.retain(|grant| {
-            let is_current = |range: &OwnedRange| range.fencing_token == grant.fencing_token;
-            ranges.iter().any(is_current)
-        });
-        self.recalls.retain(|recall| {
-            let is_current = |range: &OwnedRange| {
-                range.fencing_token == recall.fencing_token
-                    && range.previous_owners.contains(&recall.holder)
-            };
-            ranges.iter().any(is_current)
-        });
-        for range in &ranges {
-            if self.push_releases(now, range, actions) {
-                self.push_grant(now, range, actions);
-            }
-        }
-    }
-
-    /// Appends the due releases to previous owners of a range; returns whether none of them can hold its keys any more.
-    fn push_releases(
-        &mut self,
-        now: Instant,
-        range: &OwnedRange,
-        actions: &mut Vec<Action>,
-    ) -> bool {
-        let mut is_released_by_all = true;
-        for holder in &range.previous_owners {
-            if *holder == range.owner || self.holds_no_grant(now, holder) {
-                continue;
-            }
-            let state = self.holder_state(now, holder);
-            let (unanswered_expiry, has_in_flight_grant) =
-                (state.unanswered_expiry, !state.in_flight_grants.is_empty());
-            let found = self.recalls.iter().position(|recall| {
-                recall.fencing_token == range.fencing_token && recall.holder == *holder
-            });
-            let position = found.unwrap_or_else(|| {
-                self.recalls.push(Recall {
-                    holder: holder.clone(),
-                    keys: range.keys(),
-                    fencing_token: range.fencing_token,
-                    sent_at: None,
-                    is_released: false,
-                    handover: None,
-                });
-                self.recalls.len() - 1
-            });
-            let recall = &mut self.recalls[position];
-            if recall.is_released {
-                // An unanswered grant may still take effect after the release, until it expires.
-                is_released_by_all &= unanswered_expiry < now;
-                continue;
-            }
-            is_released_by_all = false;
-            let is_due = recall
-                .sent_at
-                .is_none_or(|sent_at| now.saturating_since(sent_at) >= RELEASE_RETRY_INTERVAL);
-            // A grant that is still in flight could arrive after the release.
-            if is_due && !has_in_flight_grant {
-                recall.sent_at = Some(now);
-                actions.push(Action::Release {
-                    holder: holder.clone(),
-                    keys: recall.keys.clone(),
-                    fencing_token: range.fencing_token,
-                });
-            }
-        }
-        is_released_by_all
-    }
-
-    fn push_grant(&mut self, now: Instant, range: &OwnedRange, actions: &mut Vec<Action>) {
-        let duration = if self.is_store_unreachable {
-            self.timing.max_grant_duration
-        } else {
-            self.timing.grant_duration
-        };
-        let found = self
-            .grants
-            .iter()
-            .position(|grant| grant.fencing_token == range.fencing_token);
-        let position = found.unwrap_or_else(|| {
-            self.grants.push(Grant {
-                fencing_token: range.fencing_token,
-                renewed_at: None,
-                sent_at: None,
-                duration,
-                consecutive_failures: 0,
-            });
-            self.grants.len() - 1
-        });
-        let grant = &mut self.grants[position];
-        let may_send = grant
-            .sent_at
-            .is_none_or(|sent_at| now.saturating_since(sent_at) >= GRANT_RETRY_INTERVAL);
-        let is_due = grant.renewed_at.is_none_or(|renewed_at| {
-            let is_too_short = duration > grant.duration;
-            is_too_short || now.saturating_since(renewed_at) >= self.timing.renewal_interval
-        });
-        if !may_send || !is_due {
-            return;
-        }
-        grant.sent_at = Some(now);
-        grant.duration = duration;
-        // Only the first grant carries the state that the previous owner handed over.
-        let is_first = grant.renewed_at.is_none();
-        let mut recalls = self.recalls.iter().filter(|_| is_first);
-        let handover = recalls.find_map(|recall| {
-            let handover = recall.handover.as_ref()?;
-            (recall.fencing_token == range.fencing_token).then(|| handover.clone())
-        });
-        let id = GrantId {
-            fencing_token: range.fencing_token,
-            sent_at: now,
-        };
-        let owner = self.holder_state(now, &range.owner);
-        owner
-            .in_flight_grants
-            .push((id, now + with_safety_margin(duration)));
-        actions.push(Action::Grant {
-            holder: range.owner.clone(),
-            keys: range.keys(),
-            id,
-            duration,
-            handover,
-        });
-    }
 }
 
 /// Returns the longest time for which a grant of this duration may hold, from its sending on the coordinator's clock.
-fn with_safety_margin(duration: Duration) -> Duration {
+#[must_use]
+pub fn max_hold_time(duration: Duration) -> Duration {
     duration.mul_f64(1.0 + MAX_CLOCK_DRIFT_FRACTION) + GRANT_DELIVERY_MARGIN
 }
 
--- a/crates/kumquat-coordination/tests/support/owners.rs
+++ b/crates/kumquat-coordination/tests/support/owners.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use kumquat_coordination::fleet::{
-    Action, Coordinator, GrantId, Holder, KeyRange, Member, OrderFailure, OwnershipMap,
-    OwnershipTiming,
+    Action, Coordinator, Era, GrantId, Holder, KeyRange, Member, OrderFailure, OwnershipMap,
+    OwnershipTiming, max_hold_time,
 };
 use kumquat_state::clock::Instant;
 use rand::rngs::SmallRng;
@@ -27,6 +27,9 @@
 #[derive(Debug)]
 pub struct Upstream {
     pub holder: Holder,
+    // Incarnation in the registry, which learns of a restart later.
+    registered_incarnation: u64,
+    registers_at: Instant,
     pub is_up: bool,
     pub is_registered: bool,
     // Until when it neither receives nor answers anything.
@@ -94,6 +97,15 @@
     late_results: Vec<(Instant, Holder, GrantId, Result<(), OrderFailure>)>,
     last_upstream_number: u64,
     pub commit_actions: u64,
+    // All maps that the store acknowledged in its present era, with the time of the write.
+    written_maps: Vec<(Instant, OwnershipMap)>,
+    // A coordinator that has not noticed that the store came back from an older copy, and the end of its lease.
+    stranded: Option<(Coordinator, Instant)>,
+    era: Era,
+    // When the present era began, if it isn't the first one.
+    restored_at: Option<Instant>,
+    // Newest map that some VM has in memory.
+    observed_map: OwnershipMap,
 }
 
 impl Simulation {
@@ -109,6 +121,11 @@
             late_results: Vec::new(),
             last_upstream_number: 0,
             commit_actions: 0,
+            written_maps: Vec::new(),
+            stranded: None,
+            era: Era::default(),
+            restored_at: None,
+            observed_map: OwnershipMap::default(),
         };
         for _ in 0..upstreams {
             simulation.start_upstream();
@@ -127,6 +144,8 @@
                 name: Arc::from(format!("u{}", self.last_upstream_number)),
                 incarnation: 1,
             },
+            registered_incarnation: 1,
+            registers_at: Instant::ORIGIN,
             is_up: true,
             is_registered: true,
             partitioned_until: Instant::ORIGIN,
@@ -146,12 +165,21 @@
             let index = self.random_upstream();
             self.upstreams[index].is_up = false;
             self.upstreams[index].grants.clear();
+            let name = Arc::clone(&self.upstreams[index].holder.name);
+            self.delayed_orders.retain(|(.., action)| match action {
+                Action::Grant { holder, .. } | Action::Release { holder, .. } => {
+                    holder.name != name
+                }
+                Action::Commit(_) | Action::LogClearance { .. } => true,
+            });
         }
         if self.is_one_in(120) {
             // A new incarnation under the same name holds no grants.
             let index = self.random_upstream();
+            let registers_after = Duration::from_millis(self.random.random_range(0..3_000));
             if !self.upstreams[index].is_up {
                 let upstream = &mut self.upstreams[index];
+                upstream.registers_at = self.now + registers_after;
                 upstream.is_up = true;
                 upstream.is_registered = true;
                 upstream.holder.incarnation += 1;
@@ -184,7 +212,19 @@
             return;
         }
         if self.now.saturating_since(self.lease_free_since) > LEASE_DURATION {
-            let coordinator = Coordinator::new(self.now, timing(), self.map.clone());
+            // The VM may have followed the store in the earlier era, or have started since.
+            let has_memory = self.is_one_in(2) && self.observed_map.supersedes(&self.map);
+            let map = if has_memory {
+                &self.observed_map
+            } else {
+                &self.map
+            };
+            let mut coordinator = Coordinator::new(self.now, timing(), map.clone());
+            if let Some(restored_at) = self.restored_at {
+                let expire_at =
+                    restored_at + LEASE_DURATION + max_hold_time(timing().max_grant_duration);
+                coordinator.begin_era(self.era, Some(expire_at));
+            }
             let length = self.random.random_range(5_000..40_000);
             self.coordinator = Some((coordinator, self.now + Duration::from_millis(length)));
         }
@@ -197,7 +237,10 @@
             .filter(|upstream| upstream.is_registered);
         registered
             .map(|upstream| Member {
-                holder: upstream.holder.clone(),
+                holder: Holder {
+                    name: Arc::clone(&upstream.holder.name),
+                    incarnation: upstream.registered_incarnation,
+                },
                 may_own: true,
                 is_warm: true,
                 capacity: 1.0,
@@ -211,6 +254,12 @@
         self.inject_faults();
         self.elect_coordinator();
         self.deliver_delayed_orders();
+        for upstream in &mut self.upstreams {
+            if self.now >= upstream.registers_at {
+                upstream.registered_incarnation = upstream.holder.incarnation;
+            }
+        }
+        self.run_stranded();
         let members = self.members();
         let requested_keys: Vec<u16> = (0..20)
             .map(|_| {
@@ -233,20 +282,81 @@
         self.coordinator = Some((coordinator, lease_end));
     }
 
+    /// Brings the store back from a copy of this age: maps written since are lost, and the coordinator's lease too.
+    ///
+    /// The coordinator may not notice it, and send orders until its lease ends.
+    pub fn restore_store(&mut self, age: Duration) {
+        let copied_at = Instant::from_micros(
+            self.now
+                .as_micros()
+                .saturating_sub(u64::try_from(age.as_micros()).expect("a short time")),
+        );
+        self.written_maps.retain(|(at, _)| *at <= copied_at);
+        let copy = self.written_maps.last();
+        self.map = copy.map(|(_, map)| map.clone()).unwrap_or_default();
+        self.era = Era(self.era.0 + 1);
+        self.restored_at = Some(self.now);
+        let lease_left = LEASE_DURATION.as_millis() - self.random.random_range(0..900);
+        let lease_end =
+            self.now + Duration::from_millis(u64::try_from(lease_left).expect("a short time"));
+        if let Some((mut coordinator, end)) = self.coordinator.take() {
+            if self.is_one_in(2) {
+                // It notices at once, stops, and is elected again.
+                coordinator.begin_era(self.era, None);
+                self.coordinator = Some((coordinator, end));
+                return;
+            }
+            self.stranded = Some((coordinator, end.min(lease_end)));
+        }
+        let election_delay = Duration::from_millis(self.random.random_range(0..4_000));
+        self.lease_free_since = self.now + election_delay - LEASE_DURATION;
+    }
+
+    fn run_stranded(&mut self) {
+        let now = self.now;
+        let Some((mut coordinator, lease_end)) = self.stranded.take() else {
+            return;
+        };
+        if now >= lease_end {
+            return;
+        }
+        coordinator.set_members(now, self.members());
+        coordinator.set_store_unreachable(true);
+        let mut actions = Vec::new();
+        coordinator.tick(now, &mut actions);
+        for action in actions {
+            match action {
+                // The condition on the revisions of the lost items does not hold.
+                Action::Commit(_) => coordinator.on_commit_failed(),
+                action => self.run_action(&mut coordinator, &action),
+            }
+        }
+        self.stranded = Some((coordinator, lease_end));
+    }
+
+    fn record_written(&mut self, map: &OwnershipMap) {
+        self.map = map.clone();
+        if self.is_one_in(2) && map.supersedes(&self.observed_map) {
+            self.observed_map = map.clone();
+        }
+        self.written_maps.push((self.now, map.clone()));
+    }
+
     fn run_action(&mut self, coordinator: &mut Coordinator, action: &Action) {
         match action {
+            Action::LogClearance { .. } => {}
             Action::Commit(map) => {
                 assert!(map.is_valid());
                 match self.random.random_range(0..10) {
                     0 => coordinator.on_commit_failed(),
                     1 => {
                         // The write succeeds but its answer is lost; the coordinator learns of it from a watch.
-                        self.map = map.clone();
+                        self.record_written(map);
                         coordinator.on_commit_failed();
                         coordinator.on_map_observed(map);
                     }
                     _ => {
-                        self.map = map.clone();
+                        self.record_written(map);
                         coordinator.on_committed(map);
                     }
                 }
@@ -287,8 +397,9 @@
             return Err(OrderFailure::NoResponse);
         };
         let upstream = &self.upstreams[index];
-        if upstream.holder.incarnation != holder.incarnation {
-            return Err(OrderFailure::Dead);
+        let is_grant = matches!(action, Action::Grant { .. });
+        if is_grant && upstream.registered_incarnation != holder.incarnation {
+            return Err(OrderFailure::Superseded);
         }
         if !upstream.is_up {
             return Err(OrderFailure::ConnectionRefused);
@@ -326,7 +437,7 @@
         let found = self
             .upstreams
             .iter_mut()
-            .find(|upstream| upstream.holder == *holder);
+            .find(|upstream| upstream.holder.name == holder.name);
         let Some(upstream) = found.filter(|upstream| upstream.is_up) else {
             return Err(OrderFailure::NoResponse);
         };
@@ -352,7 +463,7 @@
                 upstream.release(keys, *fencing_token);
                 Ok(())
             }
-            Action::Commit(_) => Ok(()),
+            Action::Commit(_) | Action::LogClearance { .. } => Ok(()),
         }
     }
 
--- a/crates/kumquat-router/src/metrics.rs
+++ b/crates/kumquat-router/src/metrics.rs
@@ -1,7 +1,8 @@
 //! The `metrics` module provides the Prometheus metrics of a VM.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// Upper bounds of the histogram buckets, spaced for deadlines between a tenth of a second and a few seconds.
@@ -25,6 +26,8 @@
     pub store_calls: IntCounterVec,
     /// Items in answers of the store that were left out because their key or revision can't be read, by kind of call.
     pub unreadable_store_items: IntCounterVec,
+    /// Times that the store came back from an older copy of its data.
+    pub store_era_changes: IntCounter,
     /// Lines omitted from the access log because of its rate limits, by kind.
     pub omitted_log_lines: IntCounterVec,
     /// Time from a request's arrival until its response head is known, in seconds.
@@ -56,6 +59,11 @@
             registry.register(Box::new(histogram.clone()))?;
             Ok::<_, prometheus::Error>(histogram)
         };
+        let total = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
@@ -92,6 +100,10 @@
                 "Items in answers of the store without a readable key or revision.",
                 &["kind"],
             )?,
+            store_era_changes: total(
+                "kumquat_vm_store_era_changes_total",
+                "Times that the store came back from an older copy of its data.",
+            )?,
             omitted_log_lines: counter(
                 "kumquat_vm_log_lines_omitted_total",
                 "Log lines that were left out to bound the volume.",
