--- a/crates/kumquat-coordination/src/fleet/ownership.rs
+++ b/crates/kumquat-coordination/src/fleet/ownership.rs
@@ -340,9 +340,11 @@
         self.on_map_observed(map);
     }
 
-    /// Reports that writing the map failed or has an unknown result; the next tick plans again.
-    pub fn on_commit_failed(&mut self) {
-        self.pending_commit = None;
+    /// Reports that writing a map failed or has an unknown result; the next tick plans again, unless it was an earlier map.
+    pub fn on_commit_failed(&mut self, map: &OwnershipMap) {
+        if self.pending_commit.as_ref() == Some(map) {
+            self.pending_commit = None;
+        }
     }
 
     /// Reports a map that was read from the store; it is adopted if it is newer than the known one.
--- a/crates/kumquat-coordination/tests/fleet_eras.rs
+++ b/crates/kumquat-coordination/tests/fleet_eras.rs
@@ -224,3 +224,30 @@
     upstreams.assert_exclusive();
     assert!(!upstreams.sent_since(expire_at).is_empty());
 }
+
+/// Guards against two writes at once, whose maps use the same fencing tokens, after the write of an earlier era failed.
+#[test]
+fn one_write_of_the_map_is_outstanding_after_a_restore() {
+    let LostMove {
+        mut coordinator,
+        restored_at,
+        ..
+    } = lost_move();
+    let planned = |coordinator: &mut Coordinator, now, owners: &[&str]| {
+        coordinator.set_members(now, members(owners));
+        let mut actions = Vec::new();
+        coordinator.tick(now, &mut actions);
+        actions.into_iter().find_map(|action| match action {
+            Action::Commit(map) => Some(map),
+            _ => None,
+        })
+    };
+    let earlier = planned(&mut coordinator, restored_at, &["u3"]).expect("a map");
+    coordinator.begin_era(Era(2), None);
+    let present = planned(&mut coordinator, restored_at + STEP, &["u3"]);
+    coordinator.on_commit_failed(&earlier);
+    let beside = planned(&mut coordinator, restored_at + STEP * 2, &["u1"]);
+
+    assert!(present.is_some());
+    assert_eq!(beside, None);
+}
--- a/crates/kumquat-coordination/tests/support/owners.rs
+++ b/crates/kumquat-coordination/tests/support/owners.rs
@@ -327,7 +327,7 @@
         for action in actions {
             match action {
                 // The condition on the revisions of the lost items does not hold.
-                Action::Commit(_) => coordinator.on_commit_failed(),
+                Action::Commit(map) => coordinator.on_commit_failed(&map),
                 action => self.run_action(&mut coordinator, &action),
             }
         }
@@ -348,11 +348,11 @@
             Action::Commit(map) => {
                 assert!(map.is_valid());
                 match self.random.random_range(0..10) {
-                    0 => coordinator.on_commit_failed(),
+                    0 => coordinator.on_commit_failed(map),
                     1 => {
                         // The write succeeds but its answer is lost; the coordinator learns of it from a watch.
                         self.record_written(map);
-                        coordinator.on_commit_failed();
+                        coordinator.on_commit_failed(map);
                         coordinator.on_map_observed(map);
                     }
                     _ => {
--- a/crates/kumquat-router/src/coordination.rs
+++ b/crates/kumquat-router/src/coordination.rs
@@ -32,6 +32,9 @@
 /// granted. Together with the lease, it bridges a store outage of about seven seconds.
 const MAX_GRANT_DURATION: Duration = Duration::from_secs(5);
 
+/// Time from the start of a deployment within which its VMs have to reach the store to know that there are no grants yet.
+const FIRST_START_TIME: Duration = Duration::from_secs(1);
+
 /// Timeout for the response to a grant.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -45,6 +48,8 @@
     pub service: Arc<str>,
     /// New map; it may be written only if the store still holds the previous one.
     pub map: OwnershipMap,
+    /// Next fencing token of the map that this one was planned from.
+    pub base_fencing_token: u64,
 }
 
 /// The coordinators of all keyed services; there are none while another VM holds the lease.
@@ -53,13 +58,16 @@
     vm: Rc<Vm>,
     coordinators: RefCell<Vec<(Arc<str>, Coordinator)>>,
     lease_valid_until: Cell<Instant>,
+    // Until when the store gives the lease to no other VM; this VM acts on it for a shorter time.
+    lease_exists_until: Cell<Instant>,
     // Era of the store; `None` for a store that states none.
     era: Cell<Option<Era>>,
     // When the last grant of an earlier era of the store expires that this VM may not know of.
     lost_grants_expire_at: Cell<Option<Instant>>,
     // Whether the coordinators are kept without the lease, because they know all grants of the earlier era.
     keeps_coordinators: Cell<bool>,
-    has_no_earlier_grants: Cell<bool>,
+    // Start of this process, if the whole deployment started with it and no era is known yet.
+    first_started_at: Cell<Option<Instant>>,
     is_store_unreachable: Cell<bool>,
     last_commit_revision: Cell<u64>,
     commits: UnboundedSender<OwnershipCommit>,
@@ -73,10 +81,11 @@
             vm,
             coordinators: RefCell::default(),
             lease_valid_until: Cell::new(Instant::ORIGIN),
+            lease_exists_until: Cell::new(Instant::ORIGIN),
             era: Cell::new(None),
             lost_grants_expire_at: Cell::new(None),
             keeps_coordinators: Cell::new(false),
-            has_no_earlier_grants: Cell::new(false),
+            first_started_at: Cell::new(None),
             is_store_unreachable: Cell::new(false),
             last_commit_revision: Cell::new(0),
             commits,
@@ -89,10 +98,17 @@
         clock::now() < self.lease_valid_until.get()
     }
 
+    /// Returns whether the store can't have given this VM's lease to another VM yet.
+    #[must_use]
+    pub fn may_have_lease(&self) -> bool {
+        clock::now() < self.lease_exists_until.get()
+    }
+
     /// Acquires the lease or extends it until `until`; an earlier end than the present one is ignored.
     ///
-    /// A VM that acquires the lease starts from the ownership maps that it has read from the store.
-    pub fn extend_lease(&self, until: Instant) {
+    /// The store gives the lease to no other VM before `exists_until`, which is later. A VM that acquires the lease starts
+    /// from the ownership maps that it has read from the store.
+    pub fn extend_lease(&self, until: Instant, exists_until: Instant) {
         if !self.has_lease() {
             let keeps_coordinators = self.keeps_coordinators.take();
             info!(self.vm.log, "coordinator's lease gained"; "era" => self.era.get().map(|era| era.0),
@@ -103,6 +119,8 @@
         }
         self.lease_valid_until
             .set(self.lease_valid_until.get().max(until));
+        self.lease_exists_until
+            .set(self.lease_exists_until.get().max(exists_until));
     }
 
     /// Gives up the lease and drops the coordinators.
@@ -111,6 +129,7 @@
             info!(self.vm.log, "coordinator's lease lost");
         }
         self.lease_valid_until.set(Instant::ORIGIN);
+        self.lease_exists_until.set(Instant::ORIGIN);
         self.drop_coordinators();
     }
 
@@ -121,25 +140,30 @@
 
     /// States that the whole deployment starts for the first time, so that no grant was sent before this process started.
     pub fn assume_no_earlier_grants(&self) {
-        self.has_no_earlier_grants.set(true);
+        self.first_started_at.set(Some(clock::now()));
     }
 
     /// Gives up the lease, because the store is in another era and may have given the lease to another VM.
     ///
     /// Coordinators of the earlier era hold leases until `earlier_leases_end` at the latest, and send grants until then.
-    /// If this VM held the lease up to now, its coordinators know all grants, and go on once it has the lease again.
+    /// If the store can't have given this VM's lease to another one before that era ended, its coordinators know all
+    /// grants, and go on once it has the lease again.
     pub fn begin_era(&self, era: Era, earlier_leases_end: Instant) {
+        let now = clock::now();
         let is_first = self.era.replace(Some(era)).is_none();
-        if is_first && self.has_no_earlier_grants.get() {
+        let started_at = self.first_started_at.take().filter(|_| is_first);
+        // Other VMs of a first start may have sent grants before this one reached the store, and the store been restored.
+        if started_at.is_some_and(|at| now.saturating_since(at) < FIRST_START_TIME) {
             return;
         }
         let expire_at = earlier_leases_end + max_hold_time(self.max_grant_duration());
         self.lost_grants_expire_at.set(Some(expire_at));
-        if !self.has_lease() && !self.keeps_coordinators.get() {
+        let had_lease = now < self.lease_exists_until.replace(Instant::ORIGIN);
+        self.lease_valid_until.set(Instant::ORIGIN);
+        if !had_lease {
             self.drop_coordinators();
             return;
         }
-        self.lease_valid_until.set(Instant::ORIGIN);
         self.keeps_coordinators.set(true);
         for (_, coordinator) in &mut *self.coordinators.borrow_mut() {
             coordinator.begin_era(era, None);
@@ -199,8 +223,8 @@
     }
 
     /// Tells a service's coordinator that its map was not written, or that the result of the write is unknown.
-    pub fn on_commit_failed(&self, service: &Arc<str>) {
-        self.with_coordinator(service, Coordinator::on_commit_failed);
+    pub fn on_commit_failed(&self, service: &Arc<str>, map: &OwnershipMap) {
+        self.with_coordinator(service, |coordinator| coordinator.on_commit_failed(map));
     }
 
     /// Tells a service's coordinator which map the store holds.
@@ -231,9 +255,10 @@
     pub async fn run(self: Rc<Self>) {
         loop {
             tokio::time::sleep(TICK_INTERVAL).await;
+            let keeps_coordinators = self.keeps_coordinators.get() || self.may_have_lease();
             if self.has_lease() {
                 self.tick();
-            } else if !self.keeps_coordinators.get() && !self.coordinators.borrow().is_empty() {
+            } else if !keeps_coordinators && !self.coordinators.borrow().is_empty() {
                 self.resign();
             }
         }
@@ -264,8 +289,9 @@
             coordinator.set_members(now, members);
             let mut actions = Vec::new();
             coordinator.tick(now, &mut actions);
+            let base_fencing_token = coordinator.map().next_fencing_token;
             for action in actions {
-                self.execute(&service.name, action);
+                self.execute(&service.name, base_fencing_token, action);
             }
         }
     }
@@ -289,12 +315,13 @@
             .collect()
     }
 
-    fn execute(self: &Rc<Self>, service: &Arc<str>, action: Action) {
+    fn execute(self: &Rc<Self>, service: &Arc<str>, base_fencing_token: u64, action: Action) {
         match action {
             Action::Commit(map) => {
                 let commit = OwnershipCommit {
                     service: Arc::clone(service),
                     map,
+                    base_fencing_token,
                 };
                 if self.commits.send(commit).is_err() {
                     warn!(
--- a/crates/kumquat-router/tests/orders.rs
+++ b/crates/kumquat-router/tests/orders.rs
@@ -12,6 +12,7 @@
     KEYED, ScriptedUpstream, UpstreamAction, registration, request, run_local_test, send_request,
     single_owner_map, sleep_ms, start_router, status,
 };
+use kumquat_coordination::fleet::Era;
 use kumquat_router::coordination::Coordination;
 use kumquat_state::clock;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -53,6 +54,11 @@
     (address, connections)
 }
 
+fn hold_lease(coordination: &Coordination) {
+    let until = clock::now() + Duration::from_mins(1);
+    coordination.extend_lease(until, until);
+}
+
 /// Guards against an order whose result is a late or repeated answer to an earlier exchange on its connection.
 #[test]
 fn an_order_is_the_first_message_on_its_connection() {
@@ -72,7 +78,7 @@
 
         let text = request("GET", "/keyed/a", "t1");
         let before = send_request(router.address, &text).await;
-        coordination.extend_lease(clock::now() + Duration::from_mins(1));
+        hold_lease(&coordination);
         sleep_ms(2_200).await;
 
         assert_eq!(status(&before), 200, "{before}");
@@ -84,3 +90,59 @@
         assert!(!later.any(is_order), "{connections:?}");
     });
 }
+
+async fn start_coordination() -> (Rc<Coordination>, Connections) {
+    let unkeyed = ScriptedUpstream::bind(&[UpstreamAction::Answer("fine")]).await;
+    let router = start_router(&[&unkeyed]);
+    let (address, connections) = start_recording_upstream().await;
+    let mut owner = registration("owner", KEYED, &unkeyed);
+    owner.address = address;
+    router.vm.upsert_upstream(owner);
+    let (commits, mut receiver) =
+        mpsc::unbounded_channel::<kumquat_router::coordination::OwnershipCommit>();
+    let coordination = Coordination::new(Rc::clone(&router.vm), commits);
+    router
+        .vm
+        .set_ownership_map(&KEYED.into(), single_owner_map("owner", 7, &[]));
+    spawn_local(Rc::clone(&coordination).run());
+    let this = Rc::clone(&coordination);
+    spawn_local(async move {
+        while let Some(commit) = receiver.recv().await {
+            this.on_committed(&commit.service, &commit.map);
+        }
+    });
+    std::mem::forget(router);
+    (coordination, connections)
+}
+
+/// Guards against grants of a VM whose coordinators were kept while another VM may have been the coordinator.
+#[test]
+fn coordinators_kept_through_an_era_without_the_lease_wait_for_its_grants() {
+    run_local_test(async {
+        let (coordination, connections) = start_coordination().await;
+        hold_lease(&coordination);
+        sleep_ms(1_000).await;
+        assert!(!connections.borrow().is_empty());
+        coordination.begin_era(Era(2), clock::now());
+        sleep_ms(7_000).await;
+        coordination.begin_era(Era(3), clock::now());
+        let before = connections.borrow().len();
+        hold_lease(&coordination);
+        sleep_ms(1_000).await;
+        assert_eq!(connections.borrow().len(), before);
+    });
+}
+
+/// Guards against a VM of a deployment's first start that reaches the store only after others have sent grants.
+#[test]
+fn a_vm_that_reaches_the_store_long_after_the_first_start_waits_for_lost_grants() {
+    run_local_test(async {
+        let (coordination, connections) = start_coordination().await;
+        coordination.assume_no_earlier_grants();
+        sleep_ms(3_000).await;
+        coordination.begin_era(Era(2), clock::now());
+        hold_lease(&coordination);
+        sleep_ms(1_000).await;
+        assert_eq!(connections.borrow().len(), 0);
+    });
+}
