Start the coordination in the tests of orders by one fixture

The tests of orders and of restored stores set up the router, its recorded owner and the coordination in two copies; one function does it now. The checks stay as they are, and the three tests pass.

--- a/crates/kumquat-router/tests/orders.rs
+++ b/crates/kumquat-router/tests/orders.rs
@@ -9,11 +9,11 @@
 use std::time::Duration;
 
 use fixture::router::{
-    KEYED, ScriptedUpstream, UpstreamAction, registration, request, run_local_test, send_request,
-    single_owner_map, sleep_ms, start_router, status,
+    KEYED, Router, ScriptedUpstream, UpstreamAction, registration, request, run_local_test,
+    send_request, single_owner_map, sleep_ms, start_router, status,
 };
 use kumquat_coordination::fleet::Era;
-use kumquat_router::coordination::Coordination;
+use kumquat_router::coordination::{Coordination, OwnershipCommit};
 use kumquat_state::clock;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpListener;
@@ -54,6 +54,28 @@
     (address, connections)
 }
 
+/// Starts a router with the coordination of a keyed service, whose writes all succeed and whose owner is recorded.
+async fn start_coordination() -> (Router, Rc<Coordination>, Connections) {
+    let unkeyed = ScriptedUpstream::bind(&[UpstreamAction::Answer("fine")]).await;
+    let router = start_router(&[&unkeyed]);
+    let (address, connections) = start_recording_upstream().await;
+    let mut owner = registration("owner", KEYED, &unkeyed);
+    owner.address = address;
+    router.vm.upsert_upstream(owner);
+    let (commits, mut receiver) = mpsc::unbounded_channel::<OwnershipCommit>();
+    let coordination = Coordination::new(Rc::clone(&router.vm), commits);
+    let map = single_owner_map("owner", 7, &[]);
+    router.vm.set_ownership_map(&KEYED.into(), map);
+    spawn_local(Rc::clone(&coordination).run());
+    let this = Rc::clone(&coordination);
+    spawn_local(async move {
+        while let Some(commit) = receiver.recv().await {
+            this.on_committed(&commit.service, &commit.map);
+        }
+    });
+    (router, coordination, connections)
+}
+
 fn hold_lease(coordination: &Coordination) {
     let until = clock::now() + Duration::from_mins(1);
     coordination.extend_lease(until, until);
@@ -63,18 +85,7 @@
 #[test]
 fn an_order_is_the_first_message_on_its_connection() {
     run_local_test(async {
-        let unkeyed = ScriptedUpstream::bind(&[UpstreamAction::Answer("fine")]).await;
-        let router = start_router(&[&unkeyed]);
-        let (address, connections) = start_recording_upstream().await;
-        let mut owner = registration("owner", KEYED, &unkeyed);
-        owner.address = address;
-        router.vm.upsert_upstream(owner);
-        let (commits, mut receiver) = mpsc::unbounded_channel();
-        let coordination = Coordination::new(Rc::clone(&router.vm), commits);
-        let map = single_owner_map("owner", 7, &[]);
-        router.vm.set_ownership_map(&KEYED.into(), map);
-        spawn_local(Rc::clone(&coordination).run());
-        spawn_local(async move { while receiver.recv().await.is_some() {} });
+        let (router, coordination, connections) = start_coordination().await;
 
         let text = request("GET", "/keyed/a", "t1");
         let before = send_request(router.address, &text).await;
@@ -91,35 +102,11 @@
     });
 }
 
-async fn start_coordination() -> (Rc<Coordination>, Connections) {
-    let unkeyed = ScriptedUpstream::bind(&[UpstreamAction::Answer("fine")]).await;
-    let router = start_router(&[&unkeyed]);
-    let (address, connections) = start_recording_upstream().await;
-    let mut owner = registration("owner", KEYED, &unkeyed);
-    owner.address = address;
-    router.vm.upsert_upstream(owner);
-    let (commits, mut receiver) =
-        mpsc::unbounded_channel::<kumquat_router::coordination::OwnershipCommit>();
-    let coordination = Coordination::new(Rc::clone(&router.vm), commits);
-    router
-        .vm
-        .set_ownership_map(&KEYED.into(), single_owner_map("owner", 7, &[]));
-    spawn_local(Rc::clone(&coordination).run());
-    let this = Rc::clone(&coordination);
-    spawn_local(async move {
-        while let Some(commit) = receiver.recv().await {
-            this.on_committed(&commit.service, &commit.map);
-        }
-    });
-    std::mem::forget(router);
-    (coordination, connections)
-}
-
 /// Guards against grants of a VM whose coordinators were kept while another VM may have been the coordinator.
 #[test]
 fn coordinators_kept_through_an_era_without_the_lease_wait_for_its_grants() {
     run_local_test(async {
-        let (coordination, connections) = start_coordination().await;
+        let (_router, coordination, connections) = start_coordination().await;
         hold_lease(&coordination);
         sleep_ms(1_000).await;
         assert!(!connections.borrow().is_empty());
@@ -137,7 +124,7 @@
 #[test]
 fn a_vm_that_reaches_the_store_long_after_the_first_start_waits_for_lost_grants() {
     run_local_test(async {
-        let (coordination, connections) = start_coordination().await;
+        let (_router, coordination, connections) = start_coordination().await;
         coordination.assume_no_earlier_grants();
         sleep_ms(3_000).await;
         coordination.begin_era(Era(2), clock::now());
