--- a/crates/kumquat-router/src/coordination.rs
+++ b/crates/kumquat-router/src/coordination.rs
@@ -60,7 +60,7 @@
     lease_valid_until: Cell<Instant>,
     // Until when the store gives the lease to no other VM; this VM acts on it for a shorter time.
     lease_exists_until: Cell<Instant>,
-    // Era of the store; `None` for a store that states none.
+    // Era of the store, 0 for one that states none; `None` until there was a response.
     era: Cell<Option<Era>>,
     // When the last grant of an earlier era of the store expires that this VM may not know of.
     lost_grants_expire_at: Cell<Option<Instant>>,
