Log which request an exchange without an answer belongs to

The line is now written at info, at most 10 a second and counted beyond, with a fingerprint of team, host, method, target and body, the upstream's incarnation and the number of the attempt. The fingerprint is a prefix of a BLAKE3 digest, because callers choose the content. It is calculated for these lines only.

--- a/crates/kumquat-coordination/src/fleet.rs
+++ b/crates/kumquat-coordination/src/fleet.rs
@@ -7,6 +7,7 @@
 mod announcement;
 mod bucket;
 mod budget;
+mod fingerprint;
 mod ownership;
 mod rate;
 pub mod reports;
@@ -19,6 +20,7 @@
 };
 pub use bucket::TokenBucket;
 pub use budget::RetryBudget;
+pub use fingerprint::Fingerprint;
 pub use ownership::{
     Action, Clearance, Coordinator, Era, GrantId, Holder, KeyRange, Member, OrderFailure,
     OwnedRange, OwnershipMap, OwnershipTiming, max_hold_time,
--- a/crates/kumquat-router/src/access_log.rs
+++ b/crates/kumquat-router/src/access_log.rs
@@ -15,6 +15,9 @@
 /// Maximum rate of lines for successful requests, which are omitted first.
 const SUCCESS_LINES_PER_S: f64 = 4.0;
 
+/// Maximum rate of lines for exchanges with upstreams that ended without an answer.
+const BROKEN_EXCHANGE_LINES_PER_S: f64 = 10.0;
+
 /// The access log's record of a request, written when its response is known.
 #[derive(Clone, Debug, Default)]
 pub struct AccessLogEntry<'a> {
@@ -55,6 +58,7 @@
     metrics: Metrics,
     // Token buckets for failed and for successful requests.
     rate_limits: RefCell<(TokenBucket, TokenBucket)>,
+    broken_exchange_limit: RefCell<TokenBucket>,
 }
 
 impl AccessLog {
@@ -64,11 +68,33 @@
         let now = clock::now();
         let failures = TokenBucket::new(now, FAILURE_LINES_PER_S, FAILURE_LINES_PER_S);
         let successes = TokenBucket::new(now, SUCCESS_LINES_PER_S, SUCCESS_LINES_PER_S);
+        let broken_exchanges = TokenBucket::new(
+            now,
+            BROKEN_EXCHANGE_LINES_PER_S,
+            BROKEN_EXCHANGE_LINES_PER_S,
+        );
         Self {
             log,
             metrics,
             rate_limits: RefCell::new((failures, successes)),
+            broken_exchange_limit: RefCell::new(broken_exchanges),
+        }
+    }
+
+    /// Returns whether a line for an exchange that ended without an answer may be written, and counts it as omitted
+    /// otherwise.
+    pub fn allows_broken_exchange(&self) -> bool {
+        let is_allowed = self
+            .broken_exchange_limit
+            .borrow_mut()
+            .try_acquire(clock::now());
+        if !is_allowed {
+            self.metrics
+                .omitted_log_lines
+                .with_label_values(&["exchange"])
+                .inc();
         }
+        is_allowed
     }
 
     /// Writes the line of a request, or counts it as omitted if it exceeds the rate limit.
--- a/crates/kumquat-router/src/gateway.rs
+++ b/crates/kumquat-router/src/gateway.rs
@@ -15,6 +15,7 @@
 use crate::vm::{QueueParams, SlotError, SlotPermit, Target, Vm};
 
 mod attempt;
+mod fingerprint;
 mod stream;
 
 pub use stream::ResponseStream;
--- a/crates/kumquat-router/src/gateway/attempt.rs
+++ b/crates/kumquat-router/src/gateway/attempt.rs
@@ -103,8 +103,7 @@
             Ok(Err(error)) => {
                 self.count_attempt("broken");
                 progress.may_have_executed = true;
-                slog::debug!(self.vm.log, "upstream answer broken"; "id" => self.attempt_id,
-                    "upstream" => &*placed.upstream.name, "error" => %error);
+                self.log_broken_exchange(&placed, progress, &error);
                 let outcome = if error.is_malformed() {
                     AttemptOutcome::MalformedResponse
                 } else {
@@ -199,6 +198,19 @@
         Action::Respond(relayed(response.head.status, &response.head.headers, body))
     }
 
+    fn log_broken_exchange(
+        &self,
+        placed: &SlotPermit,
+        progress: &RequestProgress,
+        error: &ExchangeError,
+    ) {
+        if self.vm.request_log.allows_broken_exchange() {
+            slog::info!(self.vm.log, "upstream answer broken"; "id" => self.attempt_id,
+                "fingerprint" => %self.fingerprint(), "upstream" => &*placed.upstream.name,
+                "born" => placed.upstream.incarnation, "attempt" => progress.sent_count, "error" => %error);
+        }
+    }
+
     /// Returns whether a request is retried at another upstream after a response with a 5xx status.
     fn may_retry_after_failure(&self, progress: &RequestProgress) -> bool {
         let has_time = clock::now() + self.vm.mean_latency(self.route) < self.deadline;
--- /dev/null
+++ b/crates/kumquat-router/src/gateway/fingerprint.rs
@@ -0,0 +1,32 @@
+//! The `fingerprint` module provides the identity of a request's content, by which repeats of the same request are
+//! recognised although each has an attempt id of its own.
+
+use kumquat_coordination::fleet::Fingerprint;
+
+use super::ResolvedRequest;
+
+impl ResolvedRequest<'_> {
+    /// Returns the fingerprint of the request: who sends it, and its method, host, target and body.
+    ///
+    /// The team is part of it, so that no team can have another team's requests refused. Each part is preceded by its
+    /// length, so that different requests don't share an encoding.
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        let head = &self.received.head;
+        let parts = [
+            self.team.unwrap_or_default().as_bytes(),
+            head.method.as_bytes(),
+            self.route.host.as_bytes(),
+            head.target.as_bytes(),
+            &self.received.body,
+        ];
+        let mut hasher = blake3::Hasher::new();
+        for part in parts {
+            let length = u64::try_from(part.len()).unwrap_or(u64::MAX);
+            hasher.update(&length.to_le_bytes());
+            hasher.update(part);
+        }
+        let mut bytes = [0; 8];
+        hasher.finalize_xof().fill(&mut bytes);
+        Fingerprint(u64::from_le_bytes(bytes))
+    }
+}
