Quarantine requests that end the upstreams that execute them

Contents are now suspected, by a fingerprint of team, host, method, target and body, when an upstream's connection ends and its address refuses another one. Three ended exchanges at two upstreams quarantine a content on all VMs, which report ends, quarantines and clearances to each other; before that, one in four of its requests is sent, one at a time on a VM. An answer clears it. An end counts only if another upstream answers a later request, so that a VM that has lost its path convicts nobody. The quarantine ends in trials.

Two upstreams are needed because many callers can have one request in flight at an ordinary crash.

--- a/crates/kumquat-coordination/src/fleet.rs
+++ b/crates/kumquat-coordination/src/fleet.rs
@@ -9,6 +9,7 @@
 mod budget;
 mod fingerprint;
 mod ownership;
+mod quarantine;
 mod rate;
 pub mod reports;
 mod split;
@@ -25,6 +26,9 @@
     Action, Clearance, Coordinator, Era, GrantId, Holder, KeyRange, Member, OrderFailure,
     OwnedRange, OwnershipMap, OwnershipTiming, max_hold_time,
 };
+pub use quarantine::{
+    Admission, Quarantine, QuarantineReport, ReportedClearance, ReportedEnd, ReportedHold, Sentence,
+};
 pub use rate::{RateDecision, RateLimiter, RateUsage};
 pub use split::WeightedRoundRobin;
 pub use table::{AttemptOutcome, Selection, UpstreamInstance, UpstreamLoad, UpstreamTable};
--- a/crates/kumquat-router/src/caller.rs
+++ b/crates/kumquat-router/src/caller.rs
@@ -17,7 +17,7 @@
 mod connection;
 mod render;
 
-pub use admin::{AdminPages, serve_admin};
+pub use admin::{AdminPages, quarantine_page, serve_admin};
 
 /// Largest number of connections that wait to be accepted.
 ///
--- a/crates/kumquat-router/src/errors.rs
+++ b/crates/kumquat-router/src/errors.rs
@@ -28,5 +28,13 @@
     Io(#[from] io::Error),
 }
 
+impl Error {
+    /// Returns whether the peer ended the connection or it failed, as happens when the peer's process ends.
+    #[must_use]
+    pub const fn is_connection_end(&self) -> bool {
+        matches!(self, Self::Closed | Self::Truncated | Self::Io(_))
+    }
+}
+
 /// Result of an operation on a connection.
 pub type Result<T> = std::result::Result<T, Error>;
--- a/crates/kumquat-router/src/gateway.rs
+++ b/crates/kumquat-router/src/gateway.rs
@@ -1,12 +1,12 @@
 //! The `gateway` module provides the proxying of requests: admission, choice of an upstream, retries and the response.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquat_coordination::fleet::RateDecision;
+use kumquat_coordination::fleet::{Fingerprint, RateDecision};
 use kumquat_state::clock::{self, Instant};
 
 use crate::access_log::AccessLogEntry;
@@ -45,12 +45,15 @@
 /// Shortest `Retry-After`; a response and a new connection take as long.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
 
-/// Longest `Retry-After`.
+/// Longest `Retry-After` where it is an estimate of when there is room.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// `Retry-After` while the VM has no desired state, or no upstream is eligible, such as when a key's owner is unknown.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(150);
 
+/// Reason of the refusal of a request whose content has ended the upstreams that executed it.
+const QUARANTINED: &str = "such requests have ended their upstreams";
+
 /// A request whose head and body have been received completely.
 #[derive(Debug)]
 pub struct ReceivedRequest {
@@ -107,9 +110,7 @@
     /// Returns a generated response with a `Retry-After` field, in seconds with three decimals.
     fn with_retry_after(status: u16, reason: &str, retry_after: Duration) -> Self {
         let mut response = Self::local(status, reason);
-        let after = retry_after
-            .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
-            .as_secs_f64();
+        let after = retry_after.max(MIN_RETRY_AFTER).as_secs_f64();
         response
             .headers
             .append("Retry-After", &format!("{after:.3}"));
@@ -130,6 +131,8 @@
     attempt_id: &'a str,
     deadline: Instant,
     flags: &'a RequestFlags,
+    /// Calculated when it is first needed.
+    fingerprint: OnceCell<Fingerprint>,
 }
 
 /// State of a request across its attempts.
@@ -275,6 +278,14 @@
     if is_keyed && key.is_none() {
         return reject(400, "no key number");
     }
+    let fingerprint = OnceCell::new();
+    let content = || {
+        *fingerprint.get_or_init(|| fingerprint::of(team.map(|team| &*team.name), route, received))
+    };
+    if let Some(wait) = vm.quarantine_wait(content) {
+        entry.reason = QUARANTINED;
+        return Response::with_retry_after(503, entry.reason, wait);
+    }
     // Comes after all other checks, so that a request that can't be sent takes no token.
     if let Some(team) = team
         && let RateDecision::Exhausted { wait_s } = vm.try_acquire_team_token(&team.name)
@@ -298,6 +309,7 @@
         attempt_id,
         deadline: received.arrived_at + time_limit,
         flags,
+        fingerprint,
     };
     entry.service = request.target.service.to_string();
     entry.key = request.target.key;
@@ -341,7 +353,13 @@
     async fn run(&self, progress: &mut RequestProgress) -> Result<Response, Refusal> {
         loop {
             let placed = self.acquire_upstream(progress).await?;
+            let trial = self.vm.admit_suspect(|| self.fingerprint());
+            let trial = trial.map_err(|wait| Refusal {
+                retry_after: wait,
+                ..self.refusal(progress, QUARANTINED, wait)
+            })?;
             let action = self.attempt(placed, progress).await;
+            drop(trial);
             let reason = match action {
                 Action::Respond(response) => return Ok(response),
                 Action::Fail(reason) => return Err(self.refusal(progress, reason, Duration::ZERO)),
@@ -425,7 +443,7 @@
         Refusal {
             status,
             reason,
-            retry_after,
+            retry_after: retry_after.min(MAX_RETRY_AFTER),
             limited_by: None,
         }
     }
@@ -438,5 +456,5 @@
 
 /// Converts seconds to a delay; values that are no valid duration give the longest one.
 fn retry_delay(seconds: f64) -> Duration {
-    Duration::try_from_secs_f64(seconds).unwrap_or(MAX_RETRY_AFTER)
+    Duration::try_from_secs_f64(seconds).map_or(MAX_RETRY_AFTER, |delay| delay.min(MAX_RETRY_AFTER))
 }
--- a/crates/kumquat-router/src/gateway/attempt.rs
+++ b/crates/kumquat-router/src/gateway/attempt.rs
@@ -80,7 +80,13 @@
         if let (Some(idle_time), Ok(Err(_))) = (idle_time, &result) {
             self.vm.pool.borrow_mut().record_stale(idle_time);
         }
+        let has_ended = matches!(&result, Ok(Err(error)) if error.is_connection_end());
+        let upstream = has_ended.then(|| placed.upstream.clone());
         let action = self.handle_result(result, latency, placed, wire, progress);
+        if let Some(upstream) = upstream {
+            let check = self.vm.check_upstream_end(&upstream, self.fingerprint());
+            check.await;
+        }
         if !progress.may_have_executed {
             self.flags.must_finish.set(false);
         }
@@ -173,8 +179,24 @@
                 .record_relative_latency(&placed.upstream, relative_latency, load);
             AttemptOutcome::Completed { relative_latency }
         };
+        self.relay_response(response, wire, placed, load, outcome, latency)
+    }
+
+    /// Returns the response for the caller, whole or as a stream, and reports the outcome of the former.
+    fn relay_response(
+        &self,
+        response: UpstreamResponse,
+        wire: HttpConnection,
+        placed: SlotPermit,
+        load: Option<UpstreamLoad>,
+        outcome: AttemptOutcome,
+        latency: Duration,
+    ) -> Action {
+        let sent_at = clock::now() - latency;
         if response.unread_body.is_complete() {
             self.return_to_pool(&response, wire, &placed);
+            self.vm
+                .record_executed(&placed.upstream, || self.fingerprint(), sent_at);
             placed.complete(outcome, load);
             return Action::Respond(relayed(
                 response.head.status,
@@ -193,6 +215,8 @@
             keep_alive: response.keep_alive,
             outcome,
             deadline: self.deadline,
+            fingerprint: self.fingerprint(),
+            sent_at,
         };
         let body = ResponseBody::Streamed(Box::new(stream));
         Action::Respond(relayed(response.head.status, &response.head.headers, body))
--- a/crates/kumquat-router/src/gateway/stream.rs
+++ b/crates/kumquat-router/src/gateway/stream.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use kumquat_coordination::fleet::AttemptOutcome;
+use kumquat_coordination::fleet::{AttemptOutcome, Fingerprint};
 use kumquat_state::clock::{self, Instant};
 use tokio::time::timeout;
 
@@ -28,6 +28,8 @@
     /// Outcome of the attempt as of the response head, reported if the body arrives completely.
     pub(super) outcome: AttemptOutcome,
     pub(super) deadline: Instant,
+    pub(super) fingerprint: Fingerprint,
+    pub(super) sent_at: Instant,
 }
 
 impl ResponseStream {
@@ -75,6 +77,8 @@
                 .borrow_mut()
                 .put(address, self.wire, keep_alive);
         }
+        self.vm
+            .record_executed(&self.placed.upstream, || self.fingerprint, self.sent_at);
         self.placed.complete(self.outcome, None);
     }
 
@@ -87,6 +91,13 @@
             .attempts
             .with_label_values(&["broken"])
             .inc();
+        if error.is_connection_end() {
+            let (vm, upstream) = (Rc::clone(&self.vm), self.placed.upstream.clone());
+            let fingerprint = self.fingerprint;
+            tokio::task::spawn_local(async move {
+                vm.check_upstream_end(&upstream, fingerprint).await;
+            });
+        }
         self.placed.complete(
             AttemptOutcome::Failed {
                 relative_latency: None,
--- a/crates/kumquat-router/src/metrics.rs
+++ b/crates/kumquat-router/src/metrics.rs
@@ -30,6 +30,12 @@
     pub unreadable_store_items: IntCounterVec,
     /// Lines omitted from the access log because of its rate limits, by kind.
     pub omitted_log_lines: IntCounterVec,
+    /// Exchanges during which an upstream ended.
+    pub upstream_ends: IntCounter,
+    /// Requests whose content is suspected of ending upstreams, by what became of them.
+    pub suspect_requests: IntCounterVec,
+    /// Contents in quarantine.
+    pub quarantined_contents: IntGauge,
     /// Time from a request's arrival until its response head is known, in seconds.
     pub request_duration: Histogram,
     /// Total time of a request in the queue for an upstream, in seconds.
@@ -109,6 +115,19 @@
                 "Log lines that were left out to bound the volume.",
                 &["kind"],
             )?,
+            upstream_ends: total(
+                "kumquat_vm_upstream_ends_total",
+                "Exchanges during which an upstream ended.",
+            )?,
+            suspect_requests: counter(
+                "kumquat_vm_suspect_requests_total",
+                "Requests whose content is suspected of ending upstreams.",
+                &["outcome"],
+            )?,
+            quarantined_contents: gauge(
+                "kumquat_vm_quarantined_contents",
+                "Request contents in quarantine.",
+            )?,
             request_duration: histogram(
                 "kumquat_vm_request_seconds",
                 "Time from a request's arrival to its answer.",
--- a/crates/kumquat-router/src/peers.rs
+++ b/crates/kumquat-router/src/peers.rs
@@ -17,6 +17,7 @@
 use crate::coordination::Coordination;
 use crate::vm::{Peer, PeerUsage, Vm, short_id};
 
+mod quarantine;
 mod senders;
 
 pub use senders::{Order, Senders};
@@ -72,6 +73,16 @@
     /// Short ids of draining upstreams.
     #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
     pub draining: Vec<u32>,
+    /// Ended exchanges that the sender has observed: fingerprint, short id of the upstream, count, age in milliseconds;
+    /// present in full reports.
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+    pub ended_exchanges: Vec<(u64, u32, u32, u32)>,
+    /// Quarantines: fingerprint, round, remaining time in milliseconds; present in full reports.
+    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
+    pub quarantines: Vec<(u64, u32, u32)>,
+    /// Contents that were cleared: fingerprint and age in milliseconds; present in full reports.
+    #[serde(rename = "y", default, skip_serializing_if = "Vec::is_empty")]
+    pub clearances: Vec<(u64, u32)>,
     /// Relative latencies in percent by the short id of the upstream; sent to the coordinator only.
     #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
     pub latencies_percent: Vec<(u32, u32)>,
@@ -202,6 +213,8 @@
         if let Some(revision) = report.store_revision {
             self.vm.record_peer_revision(revision);
         }
+        self.vm
+            .apply_quarantine_report(report.sender, &quarantine::decode(&report));
         if let Some(tokens) = report.handed_over_tokens {
             self.vm.set_handed_over_tokens(tokens);
         }
@@ -308,6 +321,7 @@
                 report.team_usages = Some(encode_usages(&usage.teams));
                 report.limit_usages = encode_usages(&usage.upstreams);
                 report.request_limits = encode_limits(&usage.limits);
+                quarantine::encode(&self.vm.next_quarantine_report(), &mut report);
             }
             if is_full || has_changes {
                 report.draining.clone_from(&draining);
--- a/crates/kumquat-router/src/pool.rs
+++ b/crates/kumquat-router/src/pool.rs
@@ -10,6 +10,9 @@
 /// Maximum number of idle connections per address; a VM rarely has more requests in flight to one upstream.
 const MAX_IDLE_PER_ADDRESS: usize = 4;
 
+/// Idle time after which a connection is no longer reused if the upstream announces no timeout.
+pub const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Fraction of the idle time of a stale connection up to which other connections may still be reused.
 const STALE_IDLE_FRACTION: f64 = 0.7;
 
--- a/crates/kumquat-router/src/upstream.rs
+++ b/crates/kumquat-router/src/upstream.rs
@@ -9,6 +9,7 @@
 use crate::dialect::Dialect;
 use crate::errors::Error;
 use crate::http::{BodyReader, Framing, Headers, HttpConnection, ResponseHead};
+use crate::pool::DEFAULT_IDLE_TIMEOUT;
 
 /// Longest time for establishing a connection; upstreams are at most a few milliseconds away.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -39,9 +40,6 @@
 /// Time before the announced idle timeout of an upstream from which its connections are no longer reused.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_500);
 
-/// Idle time after which a connection is no longer reused if the upstream announces no timeout.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// A serialized request to an upstream.
 #[derive(Clone, Debug)]
 pub struct UpstreamRequest<'a> {
@@ -91,6 +89,12 @@
             Self::OutcomeUnknown(Error::Malformed(_) | Error::TooLarge(_))
         )
     }
+
+    /// Returns whether the connection ended before a complete response, as it does when the upstream's process ends.
+    #[must_use]
+    pub const fn is_connection_end(&self) -> bool {
+        matches!(self, Self::OutcomeUnknown(error) if error.is_connection_end())
+    }
 }
 
 /// Connects to an upstream within `limit`.
--- a/crates/kumquat-router/src/vm.rs
+++ b/crates/kumquat-router/src/vm.rs
@@ -7,9 +7,10 @@
 use std::time::Duration;
 
 use kumquat_coordination::fleet::{
-    OwnershipMap, UpstreamInstance, UpstreamLoad, WeightedRoundRobin,
+    OwnershipMap, Quarantine, UpstreamInstance, UpstreamLoad, WeightedRoundRobin,
 };
 use kumquat_state::clock::{self, Instant};
+use rand::RngExt as _;
 use slog::{Logger, info};
 use tokio::sync::{Notify, watch};
 
@@ -22,10 +23,12 @@
 
 mod notices;
 mod place;
+mod quarantine;
 mod reports;
 mod state;
 
 pub use place::{QueueParams, SlotError, SlotPermit, Target};
+pub use quarantine::Trial;
 pub use reports::PeerUsage;
 use state::State;
 
@@ -124,6 +127,7 @@
         let mut state = State::default();
         state.table.set_local_data_centre(&identity.data_centre);
         state.table.set_limit_seed(identity.incarnation);
+        state.quarantine = Quarantine::new(identity.incarnation, rand::rng().random());
         Rc::new(Self {
             identity,
             dialect,
--- a/crates/kumquat-router/src/vm/reports.rs
+++ b/crates/kumquat-router/src/vm/reports.rs
@@ -66,10 +66,12 @@
         }
     }
 
-    /// Returns whether this VM's use of a rate or limit must reach the peers before the next full report is due.
+    /// Returns whether this VM's use of a rate or limit, or what it knows of a request that ends upstreams, must reach the peers before the next full report is due.
     #[must_use]
     pub fn is_early_report_due(&self) -> bool {
         let state = self.state.borrow();
-        state.rate_limiter.is_early_report_due() || state.table.is_early_report_due()
+        state.rate_limiter.is_early_report_due()
+            || state.table.is_early_report_due()
+            || state.quarantine.is_early_report_due()
     }
 }
--- a/crates/kumquat-router/src/vm/state.rs
+++ b/crates/kumquat-router/src/vm/state.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use kumquat_coordination::fleet::{
-    OwnershipMap, RateLimiter, RetryBudget, Selection, UpstreamInstance, UpstreamTable, WaitQueue,
-    WeightedRoundRobin,
+    OwnershipMap, Quarantine, RateLimiter, RetryBudget, Selection, UpstreamInstance, UpstreamTable,
+    WaitQueue, WeightedRoundRobin,
 };
 use kumquat_state::clock::Instant;
 use rand::RngExt as _;
@@ -43,6 +43,7 @@
     pub(super) peers: Rc<[Peer]>,
     pub(super) coordinator: Option<String>,
     pub(super) queue: WaitQueue,
+    pub(super) quarantine: Quarantine,
     // One entry for each request in `queue`, in no order.
     pub(super) waiters: Vec<Waiter>,
     pub(super) next_waiter_id: u64,
--- a/crates/kumquat-router/tests/deadly_requests.rs
+++ b/crates/kumquat-router/tests/deadly_requests.rs
@@ -10,7 +10,9 @@
 use std::time::Duration;
 
 use fixture::mortal::{DeadlyRecord, MortalUpstream, start_fleet};
-use fixture::router::{request, run_local_test, send_request, status};
+use fixture::router::{header_field, request, run_local_test, send_request, status};
+use kumquat_coordination::fleet::{Fingerprint, ReportedHold};
+use kumquat_router::caller::quarantine_page;
 use kumquat_router::vm::Vm;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
@@ -26,7 +28,6 @@
 
 /// Guards against a request that ends upstream after upstream, because no VM remembers what it did to the others.
 #[test]
-#[ignore = "KNOWN-RED: deadly_requests"]
 fn a_request_that_has_ended_three_upstreams_reaches_at_most_three_more() {
     run_local_test(async {
         let routers = start_fleet(4).await;
@@ -79,3 +80,61 @@
         assert!(late_tries <= MAX_LATE_TRIES, "{late_tries} tries came late");
     });
 }
+
+/// Guards against a content that operators can neither see nor release.
+#[test]
+fn an_operator_sees_and_lifts_a_quarantine() {
+    run_local_test(async {
+        let routers = start_fleet(1).await;
+        let vm = &routers[0].vm;
+        vm.adopt_quarantine(&ReportedHold {
+            fingerprint: Fingerprint(0xab),
+            round: 2,
+            remaining: Duration::from_secs(40),
+        });
+
+        let page = quarantine_page(vm, "GET", "/quarantine");
+        let malformed = quarantine_page(vm, "DELETE", "/quarantine/xyz");
+        let lifted = quarantine_page(vm, "DELETE", "/quarantine/00000000000000ab");
+        let again = quarantine_page(vm, "DELETE", "/quarantine/00000000000000ab");
+
+        let (status, page) = page.expect("a page");
+        let page = String::from_utf8(page).expect("text");
+        assert_eq!(status, 200);
+        assert!(
+            page.starts_with("00000000000000ab round=2 remaining_s="),
+            "{page}"
+        );
+        assert_eq!(malformed.map(|page| page.0), Some(400));
+        assert_eq!(lifted.map(|page| page.0), Some(200));
+        assert_eq!(again.map(|page| page.0), Some(404));
+        assert!(quarantine_page(vm, "GET", "/metrics").is_none());
+    });
+}
+
+/// Guards against a refusal that callers repeat at once, because it tells them to come back within two seconds.
+#[test]
+fn a_quarantined_request_is_refused_until_the_end_of_its_quarantine() {
+    run_local_test(async {
+        let routers = start_fleet(1).await;
+        let vms: Rc<[Rc<Vm>]> = routers.iter().map(|router| Rc::clone(&router.vm)).collect();
+        let record = Rc::new(DeadlyRecord::default());
+        for number in 0..4 {
+            MortalUpstream::start(&format!("u{number}"), &vms, &record).await;
+        }
+        let address = routers[0].address;
+        while vms[0].quarantines().is_empty() {
+            send_request(address, &request("POST", "/once/deadly", "d")).await;
+            sleep(Duration::from_millis(2)).await;
+            send_request(address, &request("GET", "/safe/other", "o")).await;
+        }
+
+        let answer = send_request(address, &request("POST", "/once/deadly", "late")).await;
+
+        assert_eq!(status(&answer), 503, "{answer}");
+        let retry_after = header_field(&answer, "Retry-After").expect("a field");
+        let retry_after: f64 = retry_after.parse().expect("seconds");
+        assert!((30.0..=90.0).contains(&retry_after), "{retry_after}");
+        assert!(record.arrivals.borrow().len() <= 4);
+    });
+}
--- a/crates/kumquat-router/tests/messages.rs
+++ b/crates/kumquat-router/tests/messages.rs
@@ -246,6 +246,9 @@
         draining: vec![3],
         latencies_percent: vec![(1, 110)],
         requested_keys: vec![(1, vec![0, 65_535])],
+        ended_exchanges: vec![(u64::MAX, 8, 2, 30)],
+        quarantines: vec![(u64::MAX, 1, 60_000)],
+        clearances: vec![(1, 20)],
     };
 
     let decoded = Report::decode(&report.encode()).expect("a report");
@@ -268,6 +271,9 @@
             .map(|number| (id(number), Some(2_500), 20_000))
             .collect(),
         store_revision: Some(1_000_000),
+        ended_exchanges: vec![(u64::MAX, u32::MAX, 100, 3_000); 16],
+        quarantines: vec![(u64::MAX, 4, 600_000); 16],
+        clearances: vec![(u64::MAX, 3_000); 16],
         ..Report::default()
     };
     let without_limits = Report {
