Keep quarantines in the store for the loss of all VMs

Quarantines lived on the VMs only, so that a loss of all of them at once let a quarantined request end three more upstreams before it was known again. The coordinator now writes each quarantine under kumquat/quarantines/, bound to a lease that ends with it, and VMs adopt them as they read the store. A lifted or cleared quarantine is removed, and so is an entry that can't be read. The time left follows from the time of day, bounded by ten minutes, because the store doesn't state a lease's age. There is no call unless a quarantine begins or ends.

--- a/crates/kumquat-router/src/record.rs
+++ b/crates/kumquat-router/src/record.rs
@@ -31,6 +31,17 @@
     pub data_centre: String,
 }
 
+/// The record of a quarantine, whose key holds the fingerprint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineRecord {
+    /// Number of successive quarantines of the content, this one included.
+    #[serde(rename = "r")]
+    pub round: u32,
+    /// Time of day of its end, in milliseconds since 1970.
+    #[serde(rename = "e")]
+    pub ends_at_ms: u64,
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 struct OwnershipMapRecord {
     #[serde(rename = "n")]
@@ -124,6 +135,21 @@
     decode::<OwnershipMapRecord>(bytes)?.try_into()
 }
 
+/// Encodes a quarantine.
+#[must_use]
+pub fn encode_quarantine(record: &QuarantineRecord) -> Vec<u8> {
+    encode(record)
+}
+
+/// Decodes a quarantine.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are not the expected CBOR.
+pub fn decode_quarantine(bytes: &[u8]) -> Result<QuarantineRecord, RecordError> {
+    decode(bytes)
+}
+
 /// Encodes the registration of a VM.
 #[must_use]
 pub fn encode_vm_registration(registration: &VmRegistration) -> Vec<u8> {
