Tell the loss of a VM's own path from the loss of upstreams

A VM now suspects its path to a service when two upstreams of it have failed in a row with no answer in between, connects to three others at once, and logs the loss if none can be reached; a lost path to one service makes it probe the others. Rounds of probes follow each 250 ms until the greater part is reached. Nothing is decided by this yet.

--- a/crates/kumquat-coordination/src/fleet.rs
+++ b/crates/kumquat-coordination/src/fleet.rs
@@ -9,6 +9,7 @@
 mod budget;
 mod fingerprint;
 mod ownership;
+mod path;
 mod quarantine;
 mod rate;
 pub mod reports;
@@ -26,6 +27,7 @@
     Action, Clearance, Coordinator, Era, GrantId, Holder, KeyRange, Member, OrderFailure,
     OwnedRange, OwnershipMap, OwnershipTiming, max_hold_time,
 };
+pub use path::{PROBES_PER_ROUND, PathChange, PathMonitor, PathState};
 pub use quarantine::{
     Admission, Quarantine, QuarantineReport, ReportedClearance, ReportedEnd, ReportedHold, Sentence,
 };
--- a/crates/kumquat-router/src/coordination.rs
+++ b/crates/kumquat-router/src/coordination.rs
@@ -430,12 +430,19 @@
             }
             Some(upstream) => {
                 self.vm.record_send(&upstream, kind);
-                match timeout(time_limit, self.call(&upstream, call)).await {
+                let result = match timeout(time_limit, self.call(&upstream, call)).await {
                     Ok(result) => result,
                     Err(_elapsed) => {
                         Err((OrderFailure::NoResponse, "no answer in time".to_owned()))
                     }
+                };
+                match &result {
+                    Err((OrderFailure::ConnectionRefused | OrderFailure::NoResponse, _)) => {
+                        self.vm.record_path_failure(&upstream);
+                    }
+                    _ => self.vm.record_path_success(&upstream.service),
                 }
+                result
             }
         };
         let outcome = match &result {
--- a/crates/kumquat-router/src/gateway/attempt.rs
+++ b/crates/kumquat-router/src/gateway/attempt.rs
@@ -47,6 +47,7 @@
             Ok(wire) => wire,
             Err(error) => {
                 self.count_attempt("unreachable");
+                self.vm.record_path_failure(&placed.upstream);
                 placed.complete(AttemptOutcome::Unreachable, None);
                 slog::debug!(self.vm.log, "upstream not reached"; "upstream" => &*upstream_name, "error" => %error);
                 return Action::Retry("no connection to an upstream");
@@ -80,6 +81,10 @@
         if let (Some(idle_time), Ok(Err(_))) = (idle_time, &result) {
             self.vm.pool.borrow_mut().record_stale(idle_time);
         }
+        match &result {
+            Ok(Ok(_)) => self.vm.record_path_success(&placed.upstream.service),
+            Ok(Err(_)) | Err(_) => self.vm.record_path_failure(&placed.upstream),
+        }
         let has_ended = matches!(&result, Ok(Err(error)) if error.is_connection_end());
         let upstream = has_ended.then(|| placed.upstream.clone());
         let action = self.handle_result(result, latency, placed, wire, progress);
--- a/crates/kumquat-router/src/metrics.rs
+++ b/crates/kumquat-router/src/metrics.rs
@@ -36,6 +36,8 @@
     pub suspect_requests: IntCounterVec,
     /// Contents in quarantine.
     pub quarantined_contents: IntGauge,
+    /// Services to whose upstreams this VM has no path.
+    pub lost_paths: IntGauge,
     /// Time from a request's arrival until its response head is known, in seconds.
     pub request_duration: Histogram,
     /// Total time of a request in the queue for an upstream, in seconds.
@@ -128,6 +130,10 @@
                 "kumquat_vm_quarantined_contents",
                 "Request contents in quarantine.",
             )?,
+            lost_paths: gauge(
+                "kumquat_vm_lost_paths",
+                "Services to whose upstreams this VM has no path.",
+            )?,
             request_duration: histogram(
                 "kumquat_vm_request_seconds",
                 "Time from a request's arrival to its answer.",
--- a/crates/kumquat-router/src/vm.rs
+++ b/crates/kumquat-router/src/vm.rs
@@ -6,9 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquat_coordination::fleet::{
-    OwnershipMap, Quarantine, UpstreamInstance, UpstreamLoad, WeightedRoundRobin,
-};
+use kumquat_coordination::fleet::{OwnershipMap, Quarantine, UpstreamInstance, WeightedRoundRobin};
 use kumquat_state::clock::{self, Instant};
 use rand::RngExt as _;
 use slog::{Logger, info};
@@ -21,7 +19,9 @@
 use crate::pool::ConnectionPool;
 use crate::sorted;
 
+mod latency;
 mod notices;
+mod path;
 mod place;
 mod quarantine;
 mod reports;
@@ -41,12 +41,6 @@
 /// Maximum number of unregistered upstreams whose addresses are kept.
 const MAX_UNREGISTERED: usize = 64;
 
-/// Weight of a new sample in the moving average of a route's latency.
-const LATENCY_EWMA_WEIGHT: f64 = 0.05;
-
-/// Assumed mean latency of a route without samples, as a fraction of its latency target.
-const INITIAL_MEAN_FRACTION: f64 = 0.35;
-
 /// Limits that the deployment's settings file sets for every router process.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct DeploymentBounds {
@@ -107,6 +101,8 @@
     pub behind_peers: Notify,
     /// Notified at a new process's first report, and when the list of peers is no longer empty.
     pub peer_joined: Notify,
+    // Notified when several upstreams in a row could not be reached.
+    path_suspected: Notify,
     /// When a graceful shutdown began, if one has.
     shutdown_started_at: watch::Sender<Option<Instant>>,
     state: RefCell<State>,
@@ -138,6 +134,7 @@
             pool: RefCell::default(),
             behind_peers: Notify::new(),
             peer_joined: Notify::new(),
+            path_suspected: Notify::new(),
             shutdown_started_at: watch::Sender::new(None),
             state: RefCell::new(state),
             is_registry_loaded: Cell::new(false),
@@ -458,69 +455,6 @@
             .try_acquire(clock::now())
     }
 
-    /// Returns the moving average of a route's latency at upstreams; before the first sample, a fraction of its target.
-    #[must_use]
-    pub fn mean_latency(&self, route: &crate::config::Route) -> Duration {
-        let state = self.state.borrow();
-        sorted::get(&state.mean_latencies_s, &route.name).map_or_else(
-            || route.latency_target.mul_f64(INITIAL_MEAN_FRACTION),
-            |mean| Duration::from_secs_f64(*mean),
-        )
-    }
-
-    /// Adds a sample to the moving average of a route's latency.
-    pub fn record_latency(&self, route: &crate::config::Route, took: Duration) {
-        let initial = route.latency_target.as_secs_f64() * INITIAL_MEAN_FRACTION;
-        let mut state = self.state.borrow_mut();
-        let mean = sorted::get_or_insert_with(&mut state.mean_latencies_s, &route.name, || {
-            (route.name.clone(), initial)
-        });
-        *mean += LATENCY_EWMA_WEIGHT * (took.as_secs_f64() - *mean);
-    }
-
-    /// Records a response's latency relative to its route's mean, divided by the service-time factor that the upstream
-    /// reports, so that a temporary slowdown is not counted against it.
-    ///
-    /// Responses without a reported load, or from an upstream with all slots in use, are ignored.
-    pub fn record_relative_latency(
-        &self,
-        upstream: &UpstreamInstance,
-        relative_latency: f64,
-        load: Option<UpstreamLoad>,
-    ) {
-        // The latency of a response that may have queued at the upstream measures its load rather than its speed.
-        let Some(load) = load.filter(|load| load.waiting == 0 && load.running < load.slots) else {
-            return;
-        };
-        let service_time_factor = load.service_time_factor.max(0.1);
-        let mut state = self.state.borrow_mut();
-        if let Some(id) = state.table.upstream_id(&upstream.name) {
-            state
-                .relative_latencies
-                .push((id, relative_latency / service_time_factor));
-        }
-    }
-
-    /// Returns and clears the relative latencies recorded since the last call, by the short id of the upstream.
-    #[must_use]
-    pub fn take_relative_latencies(&self) -> Vec<(u32, f64)> {
-        std::mem::take(&mut self.state.borrow_mut().relative_latencies)
-    }
-
-    /// Applies relative latencies that this VM or a peer has recorded to the upstream table.
-    pub fn apply_relative_latencies(&self, latencies: &[(u32, f64)]) {
-        let mut state = self.state.borrow_mut();
-        for (id, relative_latency) in latencies {
-            state.table.record_latency(*id, *relative_latency);
-        }
-    }
-
-    /// Returns the long-term latency of an upstream relative to the others.
-    #[must_use]
-    pub fn latency_factor(&self, name: &str) -> f64 {
-        self.state.borrow().table.latency_factor(name)
-    }
-
     /// Sets the fencing tokens, by the short id of the service, whose new owners have their grants although the ownership
     /// map in the store still lists previous owners.
     pub fn set_handed_over_tokens(self: &Rc<Self>, tokens: Vec<(u32, u64)>) {
--- a/crates/kumquat-router/src/vm/state.rs
+++ b/crates/kumquat-router/src/vm/state.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use kumquat_coordination::fleet::{
-    OwnershipMap, Quarantine, RateLimiter, RetryBudget, Selection, UpstreamInstance, UpstreamTable,
-    WaitQueue, WeightedRoundRobin,
+    OwnershipMap, PathMonitor, Quarantine, RateLimiter, RetryBudget, Selection, UpstreamInstance,
+    UpstreamTable, WaitQueue, WeightedRoundRobin,
 };
 use kumquat_state::clock::Instant;
 use rand::RngExt as _;
@@ -44,6 +44,8 @@
     pub(super) coordinator: Option<String>,
     pub(super) queue: WaitQueue,
     pub(super) quarantine: Quarantine,
+    // What is known of the path to the upstreams of each service that has failed before, sorted by service.
+    pub(super) paths: Vec<(Arc<str>, PathMonitor)>,
     // One entry for each request in `queue`, in no order.
     pub(super) waiters: Vec<Waiter>,
     pub(super) next_waiter_id: u64,
