Forward requests of a VM without a path to one that has it

The cause is that a VM took the loss of its own path for that of each upstream, and that the coordinator's role rested on the store alone.

A VM that has lost its path to a service now forwards requests for it, once, as the caller sent them, to the less loaded of two random VMs whose reports offer help, on the second internal port. That VM authenticates the caller and counts all rates. A request that may not be repeated is not sent again once its outcome is open; a VM that has no path either declines. With no path anywhere callers are refused at once.

--- a/crates/kumquat-coordination/src/fleet.rs
+++ b/crates/kumquat-coordination/src/fleet.rs
@@ -8,6 +8,7 @@
 mod bucket;
 mod budget;
 mod fingerprint;
+mod helpers;
 mod ownership;
 mod path;
 mod quarantine;
@@ -23,6 +24,7 @@
 pub use bucket::TokenBucket;
 pub use budget::RetryBudget;
 pub use fingerprint::Fingerprint;
+pub use helpers::{Helper, HelperOffer, HelperTable};
 pub use ownership::{
     Action, Clearance, Coordinator, Era, GrantId, Holder, KeyRange, Member, OrderFailure,
     OwnedRange, OwnershipMap, OwnershipTiming, max_hold_time,
@@ -35,3 +37,14 @@
 pub use split::WeightedRoundRobin;
 pub use table::{AttemptOutcome, Selection, UpstreamInstance, UpstreamLoad, UpstreamTable};
 pub use waiting::{QueuedRequest, WaitQueue};
+
+/// Returns a position below `count` for a random number from 0 to 1.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "the position lies between zero and the number of upstreams"
+)]
+fn random_index(noise: f64, count: usize) -> usize {
+    ((noise * count as f64) as usize).min(count.saturating_sub(1))
+}
--- a/crates/kumquat-coordination/src/fleet/path.rs
+++ b/crates/kumquat-coordination/src/fleet/path.rs
@@ -56,6 +56,8 @@
     failed: Vec<u32>,
     lost_at: Instant,
     next_probe_at: Instant,
+    // Whether the last round of probes of a lost path reached an upstream.
+    was_reached: bool,
 }
 
 impl PathMonitor {
@@ -111,8 +113,8 @@
 
     /// Records the result of a round of probes: how many of the `tried` upstreams could be `reached`.
     ///
-    /// One that is reached refutes a suspicion. A lost path needs the greater part, because a partition can end for some
-    /// upstreams before others.
+    /// One that is reached refutes a suspicion. A lost path is back if the greater part is reached, or some in two rounds,
+    /// because a partition can end for some upstreams before others while others are down.
     pub fn record_probes(
         &mut self,
         now: Instant,
@@ -132,11 +134,12 @@
                 self.state = PathState::Lost;
                 self.lost_at = now;
                 self.next_probe_at = now + PROBE_INTERVAL;
+                self.was_reached = false;
                 Some(PathChange::Lost {
                     failed: self.failed.len(),
                 })
             }
-            PathState::Lost if reached * 2 > tried => {
+            PathState::Lost if reached * 2 > tried || (reached > 0 && self.was_reached) => {
                 self.state = PathState::Intact;
                 self.failed.clear();
                 Some(PathChange::Regained {
@@ -144,6 +147,7 @@
                 })
             }
             PathState::Lost => {
+                self.was_reached = reached > 0;
                 self.next_probe_at = now + PROBE_INTERVAL;
                 None
             }
--- a/crates/kumquat-coordination/src/fleet/table.rs
+++ b/crates/kumquat-coordination/src/fleet/table.rs
@@ -8,7 +8,7 @@
 
 use kumquat_state::clock::Instant;
 
-use super::{AnnouncedLimits, RateLimiter};
+use super::{AnnouncedLimits, RateLimiter, random_index};
 
 mod limits;
 mod notices;
@@ -571,13 +571,3 @@
             .binary_search_by(|row| (*row.upstream.name).cmp(name))
     }
 }
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_precision_loss,
-    clippy::cast_sign_loss,
-    reason = "the position lies between zero and the number of upstreams"
-)]
-fn random_index(noise: f64, count: usize) -> usize {
-    ((noise * count as f64) as usize).min(count.saturating_sub(1))
-}
--- a/crates/kumquat-router/src/access_log.rs
+++ b/crates/kumquat-router/src/access_log.rs
@@ -1,6 +1,7 @@
 //! The `access_log` module provides the access log of a VM, with a limited rate of lines.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use kumquat_coordination::fleet::TokenBucket;
@@ -39,6 +40,8 @@
     pub upstreams: String,
     /// Upstream whose request limit led to the refusal, if one did.
     pub limited_by: Option<Arc<str>>,
+    /// Address of the VM to which the request was forwarded, if it was.
+    pub forwarded_to: Option<SocketAddr>,
     /// Time from the arrival of the request to its response.
     pub took_ms: u64,
     /// Time in the queue for an upstream.
@@ -120,6 +123,7 @@
             "key" => entry.key,
             "status" => entry.status, "reason" => entry.reason, "upstreams" => &entry.upstreams,
             "limited_by" => entry.limited_by.as_deref(),
+            "forwarded_to" => entry.forwarded_to.map(|address| address.to_string()),
             "took_ms" => entry.took_ms, "waited_ms" => entry.waited_ms, "deadline_ms" => entry.deadline_ms,
             "version" => entry.version, "waiting" => entry.waiting);
     }
--- a/crates/kumquat-router/src/caller.rs
+++ b/crates/kumquat-router/src/caller.rs
@@ -58,20 +58,29 @@
     Ok(socket.listen(LISTEN_BACKLOG)?)
 }
 
+/// Who opens connections to a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// Callers.
+    Caller,
+    /// Other VMs, which forward requests of their callers while they have no path to the upstreams.
+    Peer,
+}
+
 /// Serves callers until the VM shuts down and all connections have ended, or the time to drain them has passed.
-pub async fn serve(vm: Rc<Vm>, listener: TcpListener) {
+pub async fn serve(vm: Rc<Vm>, listener: TcpListener, origin: Origin) {
     // Each connection holds a clone, so that the reference count tells how many are open.
     let open_connections = Rc::new(());
     let shutdown_started = loop {
         tokio::select! {
-            accepted = listener.accept() => accept(&vm, accepted, &open_connections).await,
+            accepted = listener.accept() => accept(&vm, accepted, &open_connections, origin).await,
             started_at = vm.shutdown_started() => break started_at,
         }
     };
 
     while clock::now() < accept_until(&vm, shutdown_started) {
         if let Ok(accepted) = timeout(DRAIN_POLL_INTERVAL, listener.accept()).await {
-            accept(&vm, accepted, &open_connections).await;
+            accept(&vm, accepted, &open_connections, origin).await;
         }
     }
     // Connections that were not accepted yet get a reset, from which callers know that no request was read.
@@ -80,7 +89,8 @@
     while clock::now() < drain_until && Rc::strong_count(&open_connections) > 1 {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
-    info!(vm.log, "callers' connections ended"; "left_open" => Rc::strong_count(&open_connections) - 1);
+    info!(vm.log, "callers' connections ended"; "left_open" => Rc::strong_count(&open_connections) - 1,
+        "of_peers" => origin == Origin::Peer);
 }
 
 /// Returns the time until which a VM accepts connections and requests whose shutdown started at `shutdown_started`.
@@ -93,13 +103,16 @@
     vm: &Rc<Vm>,
     accepted: std::io::Result<(TcpStream, SocketAddr)>,
     open_connections: &Rc<()>,
+    origin: Origin,
 ) {
     match accepted {
         Ok((stream, _)) => {
             let (vm, open_connections) = (Rc::clone(vm), Rc::clone(open_connections));
             tokio::task::spawn_local(async move {
                 vm.metrics.caller_connections.inc();
-                if let Err(error) = connection::serve(&vm, HttpConnection::new(stream)).await {
+                if let Err(error) =
+                    connection::serve(&vm, HttpConnection::new(stream), origin).await
+                {
                     slog::debug!(vm.log, "caller's connection ended"; "error" => %error);
                 }
                 vm.metrics.caller_connections.dec();
--- a/crates/kumquat-router/src/caller/connection.rs
+++ b/crates/kumquat-router/src/caller/connection.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 
 use super::render::{self, Framing, ResponseOptions};
-use super::{LINGER_TIMEOUT, accept_until};
+use super::{LINGER_TIMEOUT, Origin, accept_until};
 use crate::config::RequestLimits;
 use crate::errors::{Error, Result};
 use crate::gateway::{self, ReceivedRequest, RequestFlags, Response, ResponseBody};
@@ -34,10 +34,11 @@
 /// # Errors
 ///
 /// Returns an error if the connection fails or is aborted.
-pub(super) async fn serve(vm: &Rc<Vm>, http: HttpConnection) -> Result<()> {
+pub(super) async fn serve(vm: &Rc<Vm>, http: HttpConnection, origin: Origin) -> Result<()> {
     let mut connection = CallerConnection {
         vm,
         http,
+        origin,
         in_flight: VecDeque::new(),
         last_read_at: clock::now(),
         may_start_next: true,
@@ -71,6 +72,7 @@
 struct CallerConnection<'a> {
     vm: &'a Rc<Vm>,
     http: HttpConnection,
+    origin: Origin,
     // In the order of arrival.
     in_flight: VecDeque<InFlightRequest>,
     // When input was last read; the arrival time of a pipelined request that this input completes.
@@ -136,7 +138,14 @@
 
     /// Starts a task that serves a request.
     fn start(&mut self, received: ReceivedRequest, keeps_alive: bool) {
-        let flags = Rc::new(RequestFlags::default());
+        let is_forwarded = self.origin == Origin::Peer;
+        if is_forwarded {
+            self.vm.metrics.helped_requests.inc();
+        }
+        let flags = Rc::new(RequestFlags {
+            is_forwarded,
+            ..RequestFlags::default()
+        });
         let (is_head, is_http_1_0) = (received.head.method == "HEAD", received.head.is_http_1_0);
         let (vm, shared_flags) = (Rc::clone(self.vm), Rc::clone(&flags));
         let task =
--- a/crates/kumquat-router/src/coordination.rs
+++ b/crates/kumquat-router/src/coordination.rs
@@ -9,7 +9,7 @@
 
 use kumquat_coordination::fleet::{
     Action, Coordinator, Era, Holder, KeyRange, Member, OrderFailure, OwnershipMap,
-    OwnershipTiming, UpstreamInstance, max_hold_time,
+    OwnershipTiming, PathState, UpstreamInstance, max_hold_time,
 };
 use kumquat_state::clock::{self, Instant};
 use slog::{debug, info, warn};
@@ -273,6 +273,10 @@
         let max_grant_duration = self.max_grant_duration();
         let mut coordinators = self.coordinators.borrow_mut();
         for service in keyed {
+            // What this VM can't reach says nothing about the owners, so that no key may be moved away from them.
+            if self.vm.path_state(&service.name) != PathState::Intact {
+                continue;
+            }
             let members = self.members(now, &service.name);
             let timing = OwnershipTiming::for_upstreams(members.len(), max_grant_duration);
             let coordinator = sorted::get_or_insert_with(&mut coordinators, &*service.name, || {
--- a/crates/kumquat-router/src/gateway.rs
+++ b/crates/kumquat-router/src/gateway.rs
@@ -16,6 +16,7 @@
 
 mod attempt;
 mod fingerprint;
+mod forward;
 mod stream;
 
 pub use stream::ResponseStream;
@@ -72,6 +73,8 @@
     pub is_caller_gone: Cell<bool>,
     /// Set while an upstream may be executing a non-idempotent request, which must not be aborted.
     pub must_finish: Cell<bool>,
+    /// Whether another VM, which has no path to the upstreams, has forwarded the request to this one.
+    pub is_forwarded: bool,
 }
 
 /// The body of a response to a caller.
@@ -148,6 +151,8 @@
     misdirected_count: u32,
     /// Whether an upstream may have executed the request.
     may_have_executed: bool,
+    /// Address of the VM to which the request was forwarded last.
+    forwarded_to: Option<SocketAddr>,
     /// Total time in the queue.
     queue_wait: Duration,
 }
@@ -160,6 +165,23 @@
     retry_after: Duration,
     /// Upstream whose request limit is the reason, if one is.
     limited_by: Option<Arc<str>>,
+    /// Whether the VM that has forwarded the request may try another one.
+    is_declined: bool,
+}
+
+impl Refusal {
+    /// Returns the response for the caller, and completes the line of the access log.
+    fn into_response(self, entry: &mut AccessLogEntry<'_>) -> Response {
+        entry.limited_by = self.limited_by;
+        let mut response = match self.status {
+            503 => Response::with_retry_after(503, self.reason, self.retry_after),
+            status => Response::local(status, self.reason),
+        };
+        if self.is_declined {
+            response.headers.append(forward::DECLINED_HEADER, "1");
+        }
+        response
+    }
 }
 
 /// Returns whether a pipelined request can start before the earlier requests on its connection are answered.
@@ -286,14 +308,6 @@
         entry.reason = QUARANTINED;
         return Response::with_retry_after(503, entry.reason, wait);
     }
-    // Comes after all other checks, so that a request that can't be sent takes no token.
-    if let Some(team) = team
-        && let RateDecision::Exhausted { wait_s } = vm.try_acquire_team_token(&team.name)
-    {
-        entry.reason = "above the team's rate";
-        return Response::with_retry_after(429, entry.reason, retry_delay(wait_s));
-    }
-    vm.advance_split(route);
     let request = ResolvedRequest {
         vm,
         route,
@@ -313,23 +327,30 @@
     };
     entry.service = request.target.service.to_string();
     entry.key = request.target.key;
-    vm.record_request(&request.target);
-    match request.run(progress).await {
+    // A forwarded request takes its token and counts as a request at the VM that serves it.
+    let result = if request.should_forward(progress) {
+        request.forward(progress).await
+    } else {
+        // Comes after all other checks, so that a request that can't be sent takes no token.
+        if let Some(team) = team
+            && let RateDecision::Exhausted { wait_s } = vm.try_acquire_team_token(&team.name)
+        {
+            entry.reason = "above the team's rate";
+            return Response::with_retry_after(429, entry.reason, retry_delay(wait_s));
+        }
+        vm.advance_split(route);
+        vm.record_request(&request.target);
+        request.run_with_token(progress).await
+    };
+    entry.forwarded_to = progress.forwarded_to;
+    match result {
         Ok(response) => {
             entry.reason = "answered";
             response
         }
         Err(refusal) => {
-            // A request that was never sent to an upstream doesn't count against its team's rate.
-            if let (0, Some(team)) = (progress.sent_count, request.team) {
-                vm.refund_team_token(team);
-            }
             entry.reason = refusal.reason;
-            entry.limited_by = refusal.limited_by;
-            match refusal.status {
-                503 => Response::with_retry_after(503, refusal.reason, refusal.retry_after),
-                status => Response::local(status, refusal.reason),
-            }
+            refusal.into_response(entry)
         }
     }
 }
@@ -345,6 +366,21 @@
 }
 
 impl ResolvedRequest<'_> {
+    /// Runs a request that has taken a token of its team's rate, and returns the token if no upstream got the request.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::run`].
+    async fn run_with_token(&self, progress: &mut RequestProgress) -> Result<Response, Refusal> {
+        let result = self.run(progress).await;
+        let is_unused =
+            progress.sent_count == 0 && (result.is_err() || progress.forwarded_to.is_some());
+        if let (true, Some(team)) = (is_unused, self.team) {
+            self.vm.refund_team_token(team);
+        }
+        result
+    }
+
     /// Sends the request to upstreams until one responds or no further attempt is allowed.
     ///
     /// # Errors
@@ -352,7 +388,15 @@
     /// Returns a refusal if no upstream is available in time, or the limits on retries are reached.
     async fn run(&self, progress: &mut RequestProgress) -> Result<Response, Refusal> {
         loop {
-            let placed = self.acquire_upstream(progress).await?;
+            if self.should_forward(progress) {
+                return self.forward(progress).await;
+            }
+            let placed = match self.acquire_upstream(progress).await {
+                Ok(placed) => placed,
+                // The path was lost while the request was queued.
+                Err(_refusal) if self.should_forward(progress) => continue,
+                Err(refusal) => return Err(refusal),
+            };
             let trial = self.vm.admit_suspect(|| self.fingerprint());
             let trial = trial.map_err(|wait| Refusal {
                 retry_after: wait,
@@ -445,6 +489,7 @@
             reason,
             retry_after: retry_after.min(MAX_RETRY_AFTER),
             limited_by: None,
+            is_declined: false,
         }
     }
 }
--- a/crates/kumquat-router/src/gateway/attempt.rs
+++ b/crates/kumquat-router/src/gateway/attempt.rs
@@ -8,6 +8,7 @@
 use kumquat_state::clock;
 use tokio::time::timeout;
 
+use super::stream::StreamSource;
 use super::{
     Action, MAX_MISDIRECTED_RESPONSES, MIN_REMAINING_TIME, RequestProgress, ResolvedRequest,
     Response, ResponseBody, ResponseStream, saturating_millis,
@@ -212,16 +213,18 @@
         let stream = ResponseStream {
             vm: Rc::clone(self.vm),
             attempt_id: self.attempt_id.to_owned(),
-            placed,
+            source: StreamSource::Upstream {
+                placed,
+                outcome,
+                fingerprint: self.fingerprint(),
+                sent_at,
+            },
             wire,
             unread_body: response.unread_body,
             buffered: response.body,
             content_length: response.content_length,
             keep_alive: response.keep_alive,
-            outcome,
             deadline: self.deadline,
-            fingerprint: self.fingerprint(),
-            sent_at,
         };
         let body = ResponseBody::Streamed(Box::new(stream));
         Action::Respond(relayed(response.head.status, &response.head.headers, body))
@@ -353,7 +356,7 @@
 }
 
 /// Returns the response for the caller, with the end-to-end fields of the upstream's response.
-fn relayed(status: u16, headers: &Headers, body: ResponseBody) -> Response {
+pub(super) fn relayed(status: u16, headers: &Headers, body: ResponseBody) -> Response {
     let end_to_end = headers
         .0
         .iter()
@@ -365,7 +368,7 @@
     }
 }
 
-fn append(bytes: &mut Vec<u8>, parts: &[&str]) {
+pub(super) fn append(bytes: &mut Vec<u8>, parts: &[&str]) {
     for part in parts {
         bytes.extend_from_slice(part.as_bytes());
     }
--- /dev/null
+++ b/crates/kumquat-router/src/gateway/forward.rs
@@ -0,0 +1,260 @@
+//! The `forward` module provides the forwarding of requests to another VM while this one has no path to the upstreams.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use kumquat_coordination::fleet::PathState;
+use kumquat_state::clock;
+use tokio::time::timeout;
+
+use super::attempt::{append, relayed};
+use super::stream::StreamSource;
+use super::{
+    DEFAULT_RETRY_AFTER, MIN_REMAINING_TIME, Refusal, RequestProgress, ResolvedRequest, Response,
+    ResponseBody, ResponseStream, saturating_millis,
+};
+use crate::errors::Error;
+use crate::http::{BodyReader, HttpConnection, ResponseHead};
+use crate::upstream::{self, BUFFERED_BODY_BYTES};
+use crate::vm::HelperPermit;
+
+/// VMs to which a request is forwarded in turn, if it was not executed at the ones before.
+const MAX_FORWARDS: usize = 2;
+
+/// Field by which a VM tells a peer that it has not executed a forwarded request and that another VM may.
+pub(crate) const DECLINED_HEADER: &str = "Kumquat-Declined";
+
+/// Reason of the refusal of a request at a VM that has no path, if no other VM has one.
+const NO_PATH: &str = "no path to the upstreams";
+
+/// A response of another VM whose head and first bytes have arrived.
+struct PeerResponse {
+    head: ResponseHead,
+    body: Vec<u8>,
+    unread_body: BodyReader,
+    content_length: Option<usize>,
+    keep_alive: Option<Duration>,
+}
+
+impl ResolvedRequest<'_> {
+    /// Returns whether the request should go to another VM: this one has no path to the service, and it may be sent.
+    pub(super) fn should_forward(&self, progress: &RequestProgress) -> bool {
+        self.vm.path_state(&self.target.service) == PathState::Lost
+            && (self.route.is_idempotent || !progress.may_have_executed)
+    }
+
+    /// Forwards the request to a VM that has a path, and returns that VM's response.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if no VM has a path or can be reached, or the outcome is unknown.
+    pub(super) async fn forward(
+        &self,
+        progress: &mut RequestProgress,
+    ) -> Result<Response, Refusal> {
+        // A VM that was asked by another one is the last one, or requests could travel in circles.
+        if self.flags.is_forwarded {
+            self.count_forward("declined");
+            let mut refusal = self.refusal(progress, NO_PATH, DEFAULT_RETRY_AFTER);
+            refusal.is_declined = !progress.may_have_executed;
+            return Err(refusal);
+        }
+        let mut tried = Vec::new();
+        while tried.len() < MAX_FORWARDS && !self.flags.is_caller_gone.get() {
+            let Some(permit) = self.vm.acquire_helper(&self.target.service, &tried) else {
+                break;
+            };
+            tried.push(permit.helper.vm);
+            match self.forward_to(permit, progress).await {
+                Some(response) => return Ok(response),
+                None if progress.may_have_executed && !self.route.is_idempotent => {
+                    return Err(self.refusal(
+                        progress,
+                        "the other VM's answer broke off",
+                        Duration::ZERO,
+                    ));
+                }
+                None => {}
+            }
+        }
+        self.count_forward("refused");
+        Err(self.refusal(progress, NO_PATH, DEFAULT_RETRY_AFTER))
+    }
+
+    /// Forwards the request to one VM; returns `None` if that VM gave no response for the caller.
+    async fn forward_to(
+        &self,
+        permit: HelperPermit,
+        progress: &mut RequestProgress,
+    ) -> Option<Response> {
+        let address = permit.helper.address;
+        // An idle connection may have been closed by its peer, which leaves open whether the request was executed.
+        let pooled = if self.route.is_idempotent {
+            self.vm.pool.borrow_mut().take(address)
+        } else {
+            None
+        };
+        let remaining = clock::now().until(self.deadline);
+        let wire = match pooled {
+            Some((wire, _)) => Ok(wire),
+            None => upstream::connect(address, remaining.min(upstream::CONNECT_TIMEOUT)).await,
+        };
+        let mut wire = match wire {
+            Ok(wire) => wire,
+            Err(error) => {
+                self.count_forward("unreachable");
+                slog::debug!(self.vm.log, "helping VM not reached"; "address" => %address, "error" => %error);
+                permit.eject();
+                return None;
+            }
+        };
+        let remaining = clock::now().until(self.deadline);
+        if remaining < MIN_REMAINING_TIME {
+            return None;
+        }
+        progress.forwarded_to = Some(address);
+        let bytes = self.encode_forwarded(remaining);
+        match timeout(
+            remaining,
+            exchange(&mut wire, &self.received.head.method, &bytes),
+        )
+        .await
+        {
+            Ok(Ok(response)) if self.is_declined(&response.head) => {
+                self.count_forward("declined");
+                None
+            }
+            Ok(Ok(response)) => {
+                self.count_forward("answered");
+                Some(self.relay_peer_response(response, wire, permit))
+            }
+            Ok(Err(error)) => {
+                self.count_forward("broken");
+                progress.may_have_executed = true;
+                slog::debug!(self.vm.log, "helping VM's answer broken"; "id" => self.attempt_id,
+                    "address" => %address, "error" => %error);
+                permit.eject();
+                None
+            }
+            Err(_elapsed) => {
+                self.count_forward("timeout");
+                progress.may_have_executed = true;
+                None
+            }
+        }
+    }
+
+    /// Returns whether a VM declined the request; an upstream's response is signed.
+    fn is_declined(&self, head: &ResponseHead) -> bool {
+        head.status == 503
+            && head.headers.get_str(DECLINED_HEADER).is_some()
+            && head
+                .headers
+                .get_str(self.vm.dialect.signature_header)
+                .is_none()
+    }
+
+    fn relay_peer_response(
+        &self,
+        response: PeerResponse,
+        wire: HttpConnection,
+        permit: HelperPermit,
+    ) -> Response {
+        let PeerResponse {
+            head,
+            body,
+            unread_body,
+            content_length,
+            keep_alive,
+        } = response;
+        if unread_body.is_complete() {
+            if let Some(keep_alive) = keep_alive {
+                let mut pool = self.vm.pool.borrow_mut();
+                pool.put(permit.helper.address, wire, keep_alive);
+            }
+            return relayed(head.status, &head.headers, ResponseBody::Buffered(body));
+        }
+        let stream = ResponseStream {
+            vm: Rc::clone(self.vm),
+            attempt_id: self.attempt_id.to_owned(),
+            source: StreamSource::Peer(permit),
+            wire,
+            unread_body,
+            buffered: body,
+            content_length,
+            keep_alive,
+            deadline: self.deadline,
+        };
+        relayed(
+            head.status,
+            &head.headers,
+            ResponseBody::Streamed(Box::new(stream)),
+        )
+    }
+
+    /// Serializes the request for another VM, as the caller sent it but with the time that is left.
+    ///
+    /// The other VM authenticates the caller, so that the credentials stay.
+    fn encode_forwarded(&self, remaining: Duration) -> Vec<u8> {
+        let head = &self.received.head;
+        let mut bytes = Vec::with_capacity(512 + self.received.body.len());
+        append(
+            &mut bytes,
+            &[&head.method, " ", &head.target, " HTTP/1.1\r\n"],
+        );
+        for header in &head.headers.0 {
+            let is_deadline = header
+                .name
+                .eq_ignore_ascii_case(self.vm.dialect.deadline_header);
+            if is_deadline || head.headers.is_hop_by_hop(&header.name) {
+                continue;
+            }
+            append(&mut bytes, &[&header.name, ": "]);
+            bytes.extend_from_slice(&header.value);
+            append(&mut bytes, &["\r\n"]);
+        }
+        let remaining_ms = saturating_millis(remaining).to_string();
+        let length = self.received.body.len().to_string();
+        append(
+            &mut bytes,
+            &[self.vm.dialect.deadline_header, ": ", &remaining_ms, "\r\n"],
+        );
+        append(&mut bytes, &["Content-Length: ", &length, "\r\n\r\n"]);
+        bytes.extend_from_slice(&self.received.body);
+        bytes
+    }
+
+    fn count_forward(&self, outcome: &str) {
+        let forwards = &self.vm.metrics.forwards;
+        forwards.with_label_values(&[outcome]).inc();
+    }
+}
+
+/// Sends a request to another VM and reads the head and the first bytes of its response.
+async fn exchange(
+    wire: &mut HttpConnection,
+    method: &str,
+    bytes: &[u8],
+) -> Result<PeerResponse, Error> {
+    let mut written = 0;
+    let head = wire
+        .write_and_read_response_head(bytes, &mut written)
+        .await?;
+    let framing = head.framing(method)?;
+    let (mut body, mut unread_body) = (Vec::new(), BodyReader::new(framing));
+    while !unread_body.is_complete() && body.len() < BUFFERED_BODY_BYTES {
+        let max_read_bytes = BUFFERED_BODY_BYTES - body.len();
+        unread_body.read(wire, &mut body, max_read_bytes).await?;
+    }
+    let is_reusable = head.keeps_alive(framing)
+        && written == bytes.len()
+        && !(unread_body.is_complete() && wire.has_unread());
+    let keep_alive = is_reusable.then(|| upstream::idle_timeout(&head.headers));
+    Ok(PeerResponse {
+        head,
+        body,
+        unread_body,
+        content_length: framing.known_length(),
+        keep_alive,
+    })
+}
--- a/crates/kumquat-router/src/gateway/stream.rs
+++ b/crates/kumquat-router/src/gateway/stream.rs
@@ -1,5 +1,6 @@
 //! The `stream` module provides responses that are relayed to the caller while they arrive.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use kumquat_coordination::fleet::{AttemptOutcome, Fingerprint};
@@ -9,14 +10,14 @@
 use crate::errors::{Error, Result};
 use crate::http::{BodyReader, HttpConnection};
 use crate::upstream::BUFFERED_BODY_BYTES;
-use crate::vm::{SlotPermit, Vm};
+use crate::vm::{HelperPermit, SlotPermit, Vm};
 
 /// A response whose body is still arriving; dropping it aborts the exchange with the upstream.
 #[derive(Debug)]
 pub struct ResponseStream {
     pub(super) vm: Rc<Vm>,
     pub(super) attempt_id: String,
-    pub(super) placed: SlotPermit,
+    pub(super) source: StreamSource,
     pub(super) wire: HttpConnection,
     pub(super) unread_body: BodyReader,
     /// Bytes that have been read from the upstream and not returned by [`Self::next_chunk`] yet.
@@ -25,11 +26,34 @@
     pub(super) content_length: Option<usize>,
     /// Time for which the connection may stay idle after the body; absent if it isn't reusable.
     pub(super) keep_alive: Option<std::time::Duration>,
-    /// Outcome of the attempt as of the response head, reported if the body arrives completely.
-    pub(super) outcome: AttemptOutcome,
     pub(super) deadline: Instant,
-    pub(super) fingerprint: Fingerprint,
-    pub(super) sent_at: Instant,
+}
+
+/// What serves the request whose response is streamed.
+#[derive(Debug)]
+pub(super) enum StreamSource {
+    /// An upstream.
+    Upstream {
+        /// Slot in which the request runs.
+        placed: SlotPermit,
+        /// Outcome of the attempt as of the response head, reported if the body arrives completely.
+        outcome: AttemptOutcome,
+        /// Content of the request.
+        fingerprint: Fingerprint,
+        /// When the request was sent.
+        sent_at: Instant,
+    },
+    /// Another VM, to which the request was forwarded.
+    Peer(HelperPermit),
+}
+
+impl StreamSource {
+    const fn address(&self) -> SocketAddr {
+        match self {
+            Self::Upstream { placed, .. } => placed.upstream.address,
+            Self::Peer(permit) => permit.helper.address,
+        }
+    }
 }
 
 impl ResponseStream {
@@ -71,34 +95,46 @@
     /// Reports the outcome after the last chunk, and returns the connection to the pool if it is reusable.
     pub fn finish(self) {
         if let (Some(keep_alive), false) = (self.keep_alive, self.wire.has_unread()) {
-            let address = self.placed.upstream.address;
+            let mut pool = self.vm.pool.borrow_mut();
+            pool.put(self.source.address(), self.wire, keep_alive);
+        }
+        if let StreamSource::Upstream {
+            placed,
+            outcome,
+            fingerprint,
+            sent_at,
+        } = self.source
+        {
             self.vm
-                .pool
-                .borrow_mut()
-                .put(address, self.wire, keep_alive);
+                .record_executed(&placed.upstream, || fingerprint, sent_at);
+            placed.complete(outcome, None);
         }
-        self.vm
-            .record_executed(&self.placed.upstream, || self.fingerprint, self.sent_at);
-        self.placed.complete(self.outcome, None);
     }
 
     /// Reports a failed attempt after the body ended prematurely; the connection is closed.
     pub fn fail(self, error: &Error) {
         slog::info!(self.vm.log, "answer broken off"; "id" => &self.attempt_id,
-            "upstream" => &*self.placed.upstream.name, "error" => %error);
+            "from" => %self.source.address(), "error" => %error);
+        let StreamSource::Upstream {
+            placed,
+            fingerprint,
+            ..
+        } = self.source
+        else {
+            return;
+        };
         self.vm
             .metrics
             .attempts
             .with_label_values(&["broken"])
             .inc();
         if error.is_connection_end() {
-            let (vm, upstream) = (Rc::clone(&self.vm), self.placed.upstream.clone());
-            let fingerprint = self.fingerprint;
+            let (vm, upstream) = (Rc::clone(&self.vm), placed.upstream.clone());
             tokio::task::spawn_local(async move {
                 vm.check_upstream_end(&upstream, fingerprint).await;
             });
         }
-        self.placed.complete(
+        placed.complete(
             AttemptOutcome::Failed {
                 relative_latency: None,
             },
--- a/crates/kumquat-router/src/metrics.rs
+++ b/crates/kumquat-router/src/metrics.rs
@@ -38,6 +38,10 @@
     pub quarantined_contents: IntGauge,
     /// Services to whose upstreams this VM has no path.
     pub lost_paths: IntGauge,
+    /// Requests that were forwarded to other VMs, by outcome.
+    pub forwards: IntCounterVec,
+    /// Requests that other VMs have forwarded to this one.
+    pub helped_requests: IntCounter,
     /// Time from a request's arrival until its response head is known, in seconds.
     pub request_duration: Histogram,
     /// Total time of a request in the queue for an upstream, in seconds.
@@ -56,27 +60,11 @@
     /// Returns an error if two metrics have the same name.
     pub fn new() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
-        let counter = |name: &str, help: &str, labels: &[&str]| {
-            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok::<_, prometheus::Error>(counter)
-        };
-        let histogram = |name: &str, help: &str| {
-            let options = HistogramOpts::new(name, help).buckets(DURATION_BUCKETS_S.to_vec());
-            let histogram = Histogram::with_opts(options)?;
-            registry.register(Box::new(histogram.clone()))?;
-            Ok::<_, prometheus::Error>(histogram)
-        };
-        let total = |name: &str, help: &str| {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok::<_, prometheus::Error>(counter)
-        };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
-        };
+        let registrar = Registrar(&registry);
+        let counter = |name, help, labels| registrar.counter(name, help, labels);
+        let histogram = |name, help| registrar.histogram(name, help);
+        let total = |name, help| registrar.total(name, help);
+        let gauge = |name, help| registrar.gauge(name, help);
         Ok(Self {
             responses: counter(
                 "kumquat_vm_answers_total",
@@ -134,6 +122,15 @@
                 "kumquat_vm_lost_paths",
                 "Services to whose upstreams this VM has no path.",
             )?,
+            forwards: counter(
+                "kumquat_vm_forwards_total",
+                "Requests forwarded to other VMs for want of a path to the upstreams.",
+                &["outcome"],
+            )?,
+            helped_requests: total(
+                "kumquat_vm_helped_requests_total",
+                "Requests that other VMs have forwarded to this one.",
+            )?,
             request_duration: histogram(
                 "kumquat_vm_request_seconds",
                 "Time from a request's arrival to its answer.",
@@ -164,3 +161,39 @@
         }
     }
 }
+
+/// Creates metrics and registers them.
+#[derive(Debug)]
+struct Registrar<'a>(&'a Registry);
+
+impl Registrar<'_> {
+    fn counter(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> Result<IntCounterVec, prometheus::Error> {
+        let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+        self.0.register(Box::new(counter.clone()))?;
+        Ok(counter)
+    }
+
+    fn histogram(&self, name: &str, help: &str) -> Result<Histogram, prometheus::Error> {
+        let options = HistogramOpts::new(name, help).buckets(DURATION_BUCKETS_S.to_vec());
+        let histogram = Histogram::with_opts(options)?;
+        self.0.register(Box::new(histogram.clone()))?;
+        Ok(histogram)
+    }
+
+    fn total(&self, name: &str, help: &str) -> Result<IntCounter, prometheus::Error> {
+        let counter = IntCounter::new(name, help)?;
+        self.0.register(Box::new(counter.clone()))?;
+        Ok(counter)
+    }
+
+    fn gauge(&self, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+        let gauge = IntGauge::new(name, help)?;
+        self.0.register(Box::new(gauge.clone()))?;
+        Ok(gauge)
+    }
+}
--- a/crates/kumquat-router/src/peers.rs
+++ b/crates/kumquat-router/src/peers.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use kumquat_coordination::fleet::reports::{self, Destinations};
-use kumquat_coordination::fleet::{LIMIT_STEP_PER_S, RateUsage, ReportedLimit};
+use kumquat_coordination::fleet::{HelperOffer, LIMIT_STEP_PER_S, RateUsage, ReportedLimit};
 use kumquat_state::clock;
 use serde::{Deserialize, Serialize};
 use slog::debug;
@@ -83,6 +83,10 @@
     /// Contents that were cleared: fingerprint and age in milliseconds; present in full reports.
     #[serde(rename = "y", default, skip_serializing_if = "Vec::is_empty")]
     pub clearances: Vec<(u64, u32)>,
+    /// Address at which the sender serves requests of its peers, and short ids of the services to which it has no path;
+    /// present in full reports of VMs that can help.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    pub helper_offer: Option<(SocketAddr, Vec<u32>)>,
     /// Relative latencies in percent by the short id of the upstream; sent to the coordinator only.
     #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
     pub latencies_percent: Vec<(u32, u32)>,
@@ -219,6 +223,14 @@
             self.vm.set_handed_over_tokens(tokens);
         }
         self.vm.mark_draining_by_ids(&report.draining);
+        if report.team_usages.is_some() {
+            let offer = report.helper_offer.take();
+            let offer = offer.map(|(address, lost_services)| HelperOffer {
+                address,
+                lost_services,
+            });
+            self.vm.record_helper_offer(report.sender, offer);
+        }
         let in_flight = pairs(&report.in_flight);
         let usage = report.team_usages.map(|teams| PeerUsage {
             teams: decode_usages(&teams),
@@ -273,6 +285,7 @@
         let mut last_tokens = None;
         let mut last_draining = Vec::new();
         let mut last_commit_revision = 0;
+        let mut last_offer = None;
         let mut last_full_report = clock::now();
         let mut peers = self.vm.peers();
         let mut destinations = self.destinations(&peers);
@@ -293,7 +306,9 @@
             }
             let is_due =
                 reports::is_full_report_due(vms, clock::now().saturating_since(last_full_report));
-            let is_full = is_due || peer_joined || self.vm.is_early_report_due();
+            let offer = self.vm.helper_offer();
+            let is_full =
+                is_due || peer_joined || offer != last_offer || self.vm.is_early_report_due();
             let in_flight = self.vm.in_flight_requests();
             let tokens = self.coordination.handed_over_tokens();
             if let Some(tokens) = &tokens {
@@ -321,6 +336,8 @@
                 report.team_usages = Some(encode_usages(&usage.teams));
                 report.limit_usages = encode_usages(&usage.upstreams);
                 report.request_limits = encode_limits(&usage.limits);
+                last_offer.clone_from(&offer);
+                report.helper_offer = offer.map(|offer| (offer.address, offer.lost_services));
                 quarantine::encode(&self.vm.next_quarantine_report(), &mut report);
             }
             if is_full || has_changes {
--- a/crates/kumquat-router/src/upstream.rs
+++ b/crates/kumquat-router/src/upstream.rs
@@ -244,7 +244,8 @@
 }
 
 /// Returns for how long a connection may stay idle, from the `timeout` parameter of `Keep-Alive`.
-fn idle_timeout(headers: &Headers) -> Duration {
+#[must_use]
+pub fn idle_timeout(headers: &Headers) -> Duration {
     let seconds = headers.get_str("keep-alive").and_then(|value| {
         let mut parameters = value.split(',').map(str::trim);
         parameters.find_map(|parameter| parameter.strip_prefix("timeout=")?.parse().ok())
--- a/crates/kumquat-router/src/vm.rs
+++ b/crates/kumquat-router/src/vm.rs
@@ -19,6 +19,7 @@
 use crate::pool::ConnectionPool;
 use crate::sorted;
 
+mod helpers;
 mod latency;
 mod notices;
 mod path;
@@ -27,6 +28,7 @@
 mod reports;
 mod state;
 
+pub use helpers::HelperPermit;
 pub use place::{QueueParams, SlotError, SlotPermit, Target};
 pub use quarantine::Trial;
 pub use reports::PeerUsage;
--- a/crates/kumquat-router/src/vm/state.rs
+++ b/crates/kumquat-router/src/vm/state.rs
@@ -1,13 +1,14 @@
 //! The `state` module provides the mutable state of a VM, with lookups and wait estimates over it.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use kumquat_coordination::fleet::{
-    OwnershipMap, PathMonitor, Quarantine, RateLimiter, RetryBudget, Selection, UpstreamInstance,
-    UpstreamTable, WaitQueue, WeightedRoundRobin,
+    HelperTable, OwnershipMap, PathMonitor, Quarantine, RateLimiter, RetryBudget, Selection,
+    UpstreamInstance, UpstreamTable, WaitQueue, WeightedRoundRobin,
 };
 use kumquat_state::clock::Instant;
 use rand::RngExt as _;
@@ -46,6 +47,9 @@
     pub(super) quarantine: Quarantine,
     // What is known of the path to the upstreams of each service that has failed before, sorted by service.
     pub(super) paths: Vec<(Arc<str>, PathMonitor)>,
+    pub(super) helpers: HelperTable,
+    // Address at which this VM accepts requests of its peers; none until its listener is bound.
+    pub(super) helper_address: Option<SocketAddr>,
     // One entry for each request in `queue`, in no order.
     pub(super) waiters: Vec<Waiter>,
     pub(super) next_waiter_id: u64,
--- a/crates/kumquat-router/tests/lost_path.rs
+++ b/crates/kumquat-router/tests/lost_path.rs
@@ -152,7 +152,6 @@
 
 /// Guards against a VM that refuses its callers while it has no path, although other VMs have one.
 #[test]
-#[ignore = "KNOWN-RED: lost_path_hang"]
 fn callers_are_served_while_connections_of_their_vm_to_all_upstreams_hang() {
     run_local_test(async {
         let blackhole = Blackhole::bind();
@@ -165,7 +164,6 @@
 
 /// Guards against the same where the connections are refused, as a partition may do.
 #[test]
-#[ignore = "KNOWN-RED: lost_path_refused"]
 fn callers_are_served_while_connections_of_their_vm_to_all_upstreams_are_refused() {
     run_local_test(async {
         let counts = play_cut(closed_address, 2).await;
--- a/crates/kumquat-router/tests/messages.rs
+++ b/crates/kumquat-router/tests/messages.rs
@@ -249,6 +249,7 @@
         ended_exchanges: vec![(u64::MAX, 8, 2, 30)],
         quarantines: vec![(u64::MAX, 1, 60_000)],
         clearances: vec![(1, 20)],
+        helper_offer: Some(("127.0.0.1:7101".parse().expect("an address"), vec![7])),
     };
 
     let decoded = Report::decode(&report.encode()).expect("a report");
@@ -274,6 +275,10 @@
         ended_exchanges: vec![(u64::MAX, u32::MAX, 100, 3_000); 16],
         quarantines: vec![(u64::MAX, 4, 600_000); 16],
         clearances: vec![(u64::MAX, 3_000); 16],
+        helper_offer: Some((
+            "127.0.0.1:7101".parse().expect("an address"),
+            vec![u32::MAX; 20],
+        )),
         ..Report::default()
     };
     let without_limits = Report {
