Take a path for lost only after a second round of probes

Three failed probes could make a VM give up its path while many upstreams were down: with 0.4 of them crashed, one round in sixteen fails, and a coordinator that leaves its role then makes its successor wait longer for the keys of lost owners. A second round of six upstreams now confirms the loss. A VM that reaches a few serves by itself if no other can help.

--- a/crates/kumquat-coordination/src/fleet.rs
+++ b/crates/kumquat-coordination/src/fleet.rs
@@ -30,7 +30,7 @@
     Action, Clearance, Coordinator, Era, GrantId, Holder, KeyRange, Member, OrderFailure,
     OwnedRange, OwnershipMap, OwnershipTiming, max_hold_time,
 };
-pub use path::{PROBES_PER_ROUND, PathChange, PathMonitor, PathState};
+pub use path::{PathChange, PathMonitor, PathState};
 pub use quarantine::{
     Admission, Quarantine, QuarantineReport, ReportedClearance, ReportedEnd, ReportedHold, Sentence,
 };
--- a/crates/kumquat-coordination/src/fleet/path.rs
+++ b/crates/kumquat-coordination/src/fleet/path.rs
@@ -11,7 +11,15 @@
 const MIN_FAILED_UPSTREAMS: usize = 2;
 
 /// Upstreams to which connections are tried in one round of probes.
-pub const PROBES_PER_ROUND: usize = 3;
+const PROBES_PER_ROUND: usize = 3;
+
+/// Upstreams that are tried before a path counts as lost, so that it doesn't while a large part of them is down.
+const CONFIRMING_PROBES: usize = 6;
+
+/// Confirming probes of which fewer than one in this number must reach an upstream for the path to count as lost.
+///
+/// A partition can spare a few upstreams; a VM that reaches only these serves its callers worse than the others.
+const LOSS_DIVISOR: usize = 4;
 
 /// Interval between rounds of probes while the path is lost; callers wait for its return.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
@@ -29,7 +37,9 @@
     Intact,
     /// Several upstreams failed in a row; probes will tell.
     Suspected,
-    /// No probed upstream could be reached either.
+    /// The first probes failed as well; more will confirm the loss.
+    Doubted,
+    /// No upstream could be reached, or hardly any.
     Lost,
 }
 
@@ -57,7 +67,7 @@
     lost_at: Instant,
     next_probe_at: Instant,
     // Whether the last round of probes of a lost path reached an upstream.
-    was_reached: bool,
+    is_partial: bool,
 }
 
 impl PathMonitor {
@@ -72,7 +82,7 @@
     /// A lost path comes back by probes only: a single old connection may have survived the partition.
     pub fn record_success(&mut self) {
         self.failed.clear();
-        if self.state == PathState::Suspected {
+        if matches!(self.state, PathState::Suspected | PathState::Doubted) {
             self.state = PathState::Intact;
         }
     }
@@ -106,15 +116,24 @@
     pub fn probe_wait(&self, now: Instant) -> Option<Duration> {
         match self.state {
             PathState::Intact => None,
-            PathState::Suspected => Some(Duration::ZERO),
+            PathState::Suspected | PathState::Doubted => Some(Duration::ZERO),
             PathState::Lost => Some(now.until(self.next_probe_at)),
         }
     }
 
+    /// Returns the number of upstreams to try in the next round of probes.
+    #[must_use]
+    pub const fn probe_count(&self) -> usize {
+        match self.state {
+            PathState::Doubted => CONFIRMING_PROBES,
+            PathState::Intact | PathState::Suspected | PathState::Lost => PROBES_PER_ROUND,
+        }
+    }
+
     /// Records the result of a round of probes: how many of the `tried` upstreams could be `reached`.
     ///
-    /// One that is reached refutes a suspicion. A lost path is back if the greater part is reached, or some in two rounds,
-    /// because a partition can end for some upstreams before others while others are down.
+    /// One that is reached refutes a suspicion. A lost path is back once the greater part is reached, because a partition
+    /// can end for some upstreams before others.
     pub fn record_probes(
         &mut self,
         now: Instant,
@@ -125,21 +144,27 @@
             // An answer has arrived while the probes were under way.
             PathState::Intact => None,
             PathState::Suspected if reached > 0 || tried == 0 => {
-                self.state = PathState::Intact;
-                self.failed.clear();
-                self.next_probe_at = now + SUSPICION_PAUSE;
+                self.refute(now);
+                None
+            }
+            PathState::Doubted if reached * LOSS_DIVISOR >= tried => {
+                self.refute(now);
                 None
             }
             PathState::Suspected => {
+                self.state = PathState::Doubted;
+                None
+            }
+            PathState::Doubted => {
                 self.state = PathState::Lost;
                 self.lost_at = now;
                 self.next_probe_at = now + PROBE_INTERVAL;
-                self.was_reached = false;
+                self.is_partial = reached > 0;
                 Some(PathChange::Lost {
                     failed: self.failed.len(),
                 })
             }
-            PathState::Lost if reached * 2 > tried || (reached > 0 && self.was_reached) => {
+            PathState::Lost if reached * 2 > tried => {
                 self.state = PathState::Intact;
                 self.failed.clear();
                 Some(PathChange::Regained {
@@ -147,10 +172,23 @@
                 })
             }
             PathState::Lost => {
-                self.was_reached = reached > 0;
+                self.is_partial = reached > 0;
                 self.next_probe_at = now + PROBE_INTERVAL;
                 None
             }
         }
     }
+
+    /// Returns whether a lost path still leads to a few upstreams, which is better than none if no other VM can help.
+    #[must_use]
+    pub fn is_partial(&self) -> bool {
+        self.state == PathState::Lost && self.is_partial
+    }
+
+    /// Ends a suspicion that probes have refuted.
+    fn refute(&mut self, now: Instant) {
+        self.state = PathState::Intact;
+        self.failed.clear();
+        self.next_probe_at = now + SUSPICION_PAUSE;
+    }
 }
--- a/crates/kumquat-router/src/gateway/forward.rs
+++ b/crates/kumquat-router/src/gateway/forward.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use kumquat_coordination::fleet::PathState;
 use kumquat_state::clock;
 use tokio::time::timeout;
 
@@ -39,7 +38,8 @@
 impl ResolvedRequest<'_> {
     /// Returns whether the request should go to another VM: this one has no path to the service, and it may be sent.
     pub(super) fn should_forward(&self, progress: &RequestProgress) -> bool {
-        self.vm.path_state(&self.target.service) == PathState::Lost
+        let service = &self.target.service;
+        self.vm.should_forward(service, self.flags.is_forwarded)
             && (self.route.is_idempotent || !progress.may_have_executed)
     }
 
--- a/crates/kumquat-router/src/vm/path.rs
+++ b/crates/kumquat-router/src/vm/path.rs
@@ -4,9 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use kumquat_coordination::fleet::{
-    PROBES_PER_ROUND, PathChange, PathMonitor, PathState, UpstreamInstance,
-};
+use kumquat_coordination::fleet::{PathChange, PathMonitor, PathState, UpstreamInstance};
 use kumquat_state::clock;
 use rand::RngExt as _;
 use slog::{info, warn};
@@ -29,6 +27,21 @@
         sorted::get(&state.paths, service).map_or(PathState::Intact, PathMonitor::state)
     }
 
+    /// Returns whether a request for a service is better served by another VM, or by none.
+    ///
+    /// A VM that still reaches a few upstreams serves by itself if no other VM can help.
+    #[must_use]
+    pub fn should_forward(&self, service: &str, is_forwarded: bool) -> bool {
+        if self.path_state(service) != PathState::Lost {
+            return false;
+        }
+        let is_partial = {
+            let state = self.state.borrow();
+            sorted::get(&state.paths, service).is_some_and(PathMonitor::is_partial)
+        };
+        !is_partial || (!is_forwarded && self.is_cut_off_from(service))
+    }
+
     /// Records that an upstream of a service sent an answer to this VM.
     pub fn record_path_success(&self, service: &str) {
         let mut state = self.state.borrow_mut();
@@ -77,17 +90,18 @@
     /// Makes one round of probes for each service that has one due, all at once.
     async fn probe_due_services(&self) {
         let now = clock::now();
-        let due: Vec<Arc<str>> = {
+        let due: Vec<(Arc<str>, usize)> = {
             let state = self.state.borrow();
             let services = state.paths.iter();
             let due =
                 services.filter(|(_, path)| path.probe_wait(now).is_some_and(|w| w.is_zero()));
-            due.map(|(service, _)| Arc::clone(service)).collect()
+            due.map(|(service, path)| (Arc::clone(service), path.probe_count()))
+                .collect()
         };
         let rounds: Vec<(Arc<str>, Vec<Probe>)> = due
             .into_iter()
-            .map(|service| {
-                let probes = self.start_probes(&service);
+            .map(|(service, count)| {
+                let probes = self.start_probes(&service, count);
                 (service, probes)
             })
             .collect();
@@ -107,8 +121,8 @@
         }
     }
 
-    /// Starts to connect to some random upstreams of a service.
-    fn start_probes(&self, service: &str) -> Vec<Probe> {
+    /// Starts to connect to up to `count` random upstreams of a service.
+    fn start_probes(&self, service: &str, count: usize) -> Vec<Probe> {
         let state = self.state.borrow();
         let upstreams = state.table.upstreams();
         let mut addresses: Vec<SocketAddr> = upstreams
@@ -116,7 +130,7 @@
             .map(|upstream| upstream.address)
             .collect();
         let mut probes = Vec::new();
-        while probes.len() < PROBES_PER_ROUND && !addresses.is_empty() {
+        while probes.len() < count && !addresses.is_empty() {
             let position = rand::rng().random_range(0..addresses.len());
             let address = addresses.swap_remove(position);
             probes.push(tokio::task::spawn_local(async move {
