--- a/crates/kumquat-router/src/vm/helpers.rs
+++ b/crates/kumquat-router/src/vm/helpers.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use kumquat_coordination::fleet::reports::max_full_report_interval;
@@ -99,17 +98,8 @@
         let Some(config) = self.config() else {
             return false;
         };
-        let mut keyed: Vec<&Arc<str>> = Vec::new();
-        keyed.extend(
-            config
-                .services
-                .iter()
-                .filter(|service| service.is_keyed)
-                .map(|service| &service.name),
-        );
-        keyed
-            .into_iter()
-            .any(|service| self.is_cut_off_from(service))
+        let mut keyed = config.services.iter().filter(|service| service.is_keyed);
+        keyed.any(|service| self.is_cut_off_from(&service.name))
     }
 }
 
