Use one type and one merge of ended exchanges in the quarantine

Found in the read-through of the change: Sentence and ReportedHold had the same three fields, held_count counted what sentences listed, and the entry of a VM's ended exchanges at an upstream was looked up or added in two places. No behaviour changes: clippy is clean, and the tests of fleet_quarantine, quarantine, deadly_requests and messages pass with their assertions.

--- a/crates/kumquat-coordination/src/fleet.rs
+++ b/crates/kumquat-coordination/src/fleet.rs
@@ -32,7 +32,7 @@
 };
 pub use path::{PathChange, PathMonitor, PathState};
 pub use quarantine::{
-    Admission, Quarantine, QuarantineReport, ReportedClearance, ReportedEnd, ReportedHold, Sentence,
+    Admission, Quarantine, QuarantineReport, ReportedClearance, ReportedEnd, ReportedHold,
 };
 pub use rate::{RateDecision, RateLimiter, RateUsage};
 pub use shutdown::deadline_during_shutdown;
--- a/crates/kumquat-coordination/src/fleet/quarantine.rs
+++ b/crates/kumquat-coordination/src/fleet/quarantine.rs
@@ -84,7 +84,7 @@
     pub age: Duration,
 }
 
-/// A quarantine that a VM knows of.
+/// A quarantine of a content, as it begins, is in force or is reported.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReportedHold {
     /// Content of the requests.
@@ -115,17 +115,6 @@
     pub clearances: Vec<ReportedClearance>,
 }
 
-/// A content whose quarantine has begun.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Sentence {
-    /// Content of the requests.
-    pub fingerprint: Fingerprint,
-    /// Number of successive quarantines of this content, this one included.
-    pub round: u32,
-    /// Time until its end.
-    pub remaining: Duration,
-}
-
 #[derive(Clone, Debug)]
 struct End {
     upstream: u32,
@@ -162,8 +151,24 @@
         upstreams.len()
     }
 
+    /// Returns the entry of a VM's ended exchanges at an upstream; a new one counts none and has the given time.
+    fn end_mut(&mut self, vm: u64, upstream: u32, at: Instant) -> &mut End {
+        let mut ends = self.ends.iter();
+        let found = ends.position(|end| end.vm == vm && end.upstream == upstream);
+        let position = found.unwrap_or_else(|| {
+            self.ends.push(End {
+                upstream,
+                vm,
+                count: 0,
+                at,
+            });
+            self.ends.len() - 1
+        });
+        &mut self.ends[position]
+    }
+
     /// Starts a quarantine if the ended exchanges suffice, or if one ended after an earlier quarantine.
-    fn judge(&mut self, now: Instant) -> Option<Sentence> {
+    fn judge(&mut self, now: Instant) -> Option<ReportedHold> {
         let round = match self.hold {
             None if self.end_count() < MIN_ENDS || self.upstream_count() < MIN_UPSTREAMS => {
                 return None;
@@ -182,7 +187,7 @@
             round,
             until: now + remaining,
         });
-        Some(Sentence {
+        Some(ReportedHold {
             fingerprint: self.fingerprint,
             round,
             remaining,
@@ -234,14 +239,6 @@
         self.suspects.is_empty() && self.unconfirmed.is_empty()
     }
 
-    /// Returns the number of contents in quarantine.
-    #[must_use]
-    pub fn held_count(&self, now: Instant) -> usize {
-        let held = self.suspects.iter();
-        held.filter(|suspect| self.remaining_hold(now, suspect).is_some())
-            .count()
-    }
-
     /// Returns the time until a request with this content may be sent again, if it is in quarantine.
     #[must_use]
     pub fn remaining(&self, now: Instant, fingerprint: Fingerprint) -> Option<Duration> {
@@ -257,9 +254,9 @@
 
     /// Returns all quarantines in force at this VM.
     #[must_use]
-    pub fn sentences(&self, now: Instant) -> Vec<Sentence> {
+    pub fn holds(&self, now: Instant) -> Vec<ReportedHold> {
         let held = self.suspects.iter().filter_map(|suspect| {
-            Some(Sentence {
+            Some(ReportedHold {
                 fingerprint: suspect.fingerprint,
                 round: suspect.hold?.round,
                 remaining: self.remaining_hold(now, suspect)?,
@@ -319,7 +316,7 @@
         fingerprint: Fingerprint,
         upstream: u32,
         sent_at: Instant,
-    ) -> Vec<Sentence> {
+    ) -> Vec<ReportedHold> {
         self.expire(now);
         for suspect in &mut self.suspects {
             suspect
@@ -338,29 +335,16 @@
             .partition(|end| end.upstream != upstream && end.at < sent_at);
         self.unconfirmed = unconfirmed;
         let vm = self.vm;
-        let mut sentences = Vec::new();
+        let mut started = Vec::new();
         for end in confirmed {
             self.is_early_report_due = true;
             let suspect = self.suspect_mut(now, end.fingerprint);
-            let known = suspect
-                .ends
-                .iter_mut()
-                .find(|known| known.vm == vm && known.upstream == end.upstream);
-            match known {
-                Some(known) => {
-                    known.count = known.count.saturating_add(1);
-                    known.at = known.at.max(end.at);
-                }
-                None => suspect.ends.push(End {
-                    upstream: end.upstream,
-                    vm,
-                    count: 1,
-                    at: end.at,
-                }),
-            }
-            sentences.extend(suspect.judge(now));
+            let known = suspect.end_mut(vm, end.upstream, end.at);
+            known.count = known.count.saturating_add(1);
+            known.at = known.at.max(end.at);
+            started.extend(suspect.judge(now));
         }
-        sentences
+        started
     }
 
     /// Clears a content, as an operator may; the peers are told. Returns whether it was under suspicion.
@@ -431,37 +415,26 @@
         now: Instant,
         vm: u64,
         report: &QuarantineReport,
-    ) -> Vec<Sentence> {
+    ) -> Vec<ReportedHold> {
         self.expire(now);
         for clearance in &report.clearances {
             self.apply_clearance(now, clearance);
         }
-        let mut sentences = Vec::new();
+        let mut started = Vec::new();
         for end in &report.ends {
             let at = now - end.age;
             if self.is_cleared_since(end.fingerprint, at) || end.age >= END_EXPIRY {
                 continue;
             }
             let suspect = self.suspect_mut(now, end.fingerprint);
-            let known = suspect
-                .ends
-                .iter_mut()
-                .find(|known| known.vm == vm && known.upstream == end.upstream);
-            match known {
-                Some(known) => known.count = known.count.max(end.count),
-                None => suspect.ends.push(End {
-                    upstream: end.upstream,
-                    vm,
-                    count: end.count,
-                    at,
-                }),
-            }
-            sentences.extend(suspect.judge(now));
+            let known = suspect.end_mut(vm, end.upstream, at);
+            known.count = known.count.max(end.count);
+            started.extend(suspect.judge(now));
         }
         for hold in &report.holds {
-            sentences.extend(self.adopt(now, hold));
+            started.extend(self.adopt(now, hold));
         }
-        sentences
+        started
     }
 
     fn apply_clearance(&mut self, now: Instant, clearance: &ReportedClearance) {
@@ -483,7 +456,7 @@
     }
 
     /// Adopts a quarantine that another VM or the store knows of, unless this VM knows it or a later one.
-    pub fn adopt(&mut self, now: Instant, hold: &ReportedHold) -> Option<Sentence> {
+    pub fn adopt(&mut self, now: Instant, hold: &ReportedHold) -> Option<ReportedHold> {
         // The report may have been under way when the content was cleared.
         if self.is_cleared_since(hold.fingerprint, now - REPORT_TIME) || hold.remaining.is_zero() {
             return None;
@@ -498,7 +471,7 @@
             round: hold.round,
             until: now + remaining,
         });
-        Some(Sentence {
+        Some(ReportedHold {
             fingerprint: hold.fingerprint,
             round: hold.round,
             remaining,
--- a/crates/kumquat-coordination/tests/fleet_quarantine.rs
+++ b/crates/kumquat-coordination/tests/fleet_quarantine.rs
@@ -22,8 +22,8 @@
 /// Records an exchange that ended at an upstream, and an answer that shows that the VM has a path.
 fn end(quarantine: &mut Quarantine, millis: u64, fingerprint: Fingerprint, upstream: u32) -> bool {
     quarantine.record_end(at(millis), fingerprint, upstream);
-    let sentences = quarantine.record_answer(at(millis + 2), ORDINARY, WITNESS, at(millis + 1));
-    !sentences.is_empty()
+    let started = quarantine.record_answer(at(millis + 2), ORDINARY, WITNESS, at(millis + 1));
+    !started.is_empty()
 }
 
 /// Returns the quarantine of a VM after three exchanges with the deadly content have ended at three upstreams.
@@ -87,9 +87,9 @@
     quarantine.record_answer(at(5), ORDINARY, WITNESS, at(0) - Duration::from_millis(50));
 
     // The path is back after four seconds.
-    let sentences = quarantine.record_answer(at(4_010), ORDINARY, WITNESS, at(4_000));
+    let started = quarantine.record_answer(at(4_010), ORDINARY, WITNESS, at(4_000));
 
-    assert!(sentences.is_empty());
+    assert!(started.is_empty());
     assert_eq!(
         quarantine.admit(at(4_020), DEADLY, 0.99),
         Admission::Allowed
@@ -209,15 +209,15 @@
 
     let report = quarantine.next_report(at(310));
 
-    assert!(quarantine.held_count(at(310)) <= 256);
+    assert!(quarantine.holds(at(310)).len() <= 256);
     assert!(report.holds.len() <= 16 && report.ends.len() <= 16);
     assert!(
         quarantine
-            .sentences(at(310))
+            .holds(at(310))
             .iter()
             .all(|held| held.remaining <= Duration::from_mins(15))
     );
-    assert_eq!(quarantine.held_count(at(2_000_000)), 0);
+    assert_eq!(quarantine.holds(at(2_000_000)).len(), 0);
 }
 
 /// A fleet whose VMs send a deadly content and ordinary ones to upstreams that also crash by themselves.
--- a/crates/kumquat-router/src/vm/quarantine.rs
+++ b/crates/kumquat-router/src/vm/quarantine.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use kumquat_coordination::fleet::{
-    Admission, Fingerprint, QuarantineReport, ReportedHold, Sentence, UpstreamInstance,
+    Admission, Fingerprint, QuarantineReport, ReportedHold, UpstreamInstance,
 };
 use kumquat_state::clock::{self, Instant};
 use rand::RngExt as _;
@@ -113,11 +113,11 @@
         let Some(id) = state.table.incarnation_id(upstream) else {
             return;
         };
-        let sentences = state
+        let started = state
             .quarantine
             .record_answer(clock::now(), fingerprint(), id, sent_at);
         drop(state);
-        self.log_sentences(&sentences, "own");
+        self.log_quarantines(&started, "own");
     }
 
     /// Applies a peer's report of requests that end upstreams.
@@ -126,18 +126,18 @@
             return;
         }
         let mut state = self.state.borrow_mut();
-        let sentences = state.quarantine.apply_report(clock::now(), peer, report);
+        let started = state.quarantine.apply_report(clock::now(), peer, report);
         drop(state);
-        self.log_sentences(&sentences, "peer");
+        self.log_quarantines(&started, "peer");
     }
 
     /// Adopts a quarantine that the store holds.
     pub fn adopt_quarantine(&self, hold: &ReportedHold) {
         let mut state = self.state.borrow_mut();
-        let sentence = state.quarantine.adopt(clock::now(), hold);
+        let started = state.quarantine.adopt(clock::now(), hold);
         drop(state);
-        if let Some(sentence) = sentence {
-            self.log_sentences(&[sentence], "store");
+        if let Some(hold) = started {
+            self.log_quarantines(&[hold], "store");
         }
     }
 
@@ -150,8 +150,8 @@
 
     /// Returns all quarantines in force.
     #[must_use]
-    pub fn quarantines(&self) -> Vec<Sentence> {
-        self.state.borrow().quarantine.sentences(clock::now())
+    pub fn quarantines(&self) -> Vec<ReportedHold> {
+        self.state.borrow().quarantine.holds(clock::now())
     }
 
     /// Ends the quarantine of a content at an operator's wish, here and at the peers; returns whether there was one.
@@ -163,13 +163,13 @@
         is_lifted
     }
 
-    fn log_sentences(&self, sentences: &[Sentence], source: &str) {
-        for sentence in sentences {
-            info!(self.log, "request quarantined"; "fingerprint" => %sentence.fingerprint, "round" => sentence.round,
-                "for_ms" => u64::try_from(sentence.remaining.as_millis()).unwrap_or(u64::MAX), "source" => source);
+    fn log_quarantines(&self, holds: &[ReportedHold], source: &str) {
+        for hold in holds {
+            info!(self.log, "request quarantined"; "fingerprint" => %hold.fingerprint, "round" => hold.round,
+                "for_ms" => u64::try_from(hold.remaining.as_millis()).unwrap_or(u64::MAX), "source" => source);
         }
         let state = self.state.borrow();
-        let held = state.quarantine.held_count(clock::now());
+        let held = state.quarantine.holds(clock::now()).len();
         let held = i64::try_from(held).unwrap_or(i64::MAX);
         self.metrics.quarantined_contents.set(held);
     }
