Share the reading of responses and the encoding of callers' fields

Found in the read-through of the change: forward.rs had a copy of UpstreamResponse under another name, of the loop that reads the start of a body and decides whether the connection can be reused, and of the loop that writes the request line and the caller's end-to-end fields. upstream::read_response and encode_caller_head now serve requests to upstreams and to other VMs.

--- a/crates/kumquat-router/src/gateway/attempt.rs
+++ b/crates/kumquat-router/src/gateway/attempt.rs
@@ -298,25 +298,16 @@
         self.vm.metrics.attempts.with_label_values(&[outcome]).inc();
     }
 
-    /// Serializes the request for an upstream.
-    ///
-    /// Omits hop-by-hop fields, the caller's credentials and its values of the fields that the router sets.
-    fn encode_request(&self, placed: &SlotPermit, remaining: Duration) -> Vec<u8> {
-        let dialect = &self.vm.dialect;
+    /// Serializes the request line and the caller's end-to-end fields, without those in `replaced`.
+    pub(super) fn encode_caller_head(&self, replaced: &[&str]) -> Vec<u8> {
         let head = &self.received.head;
-        let replaced_fields = [
-            "authorization",
-            dialect.deadline_header,
-            dialect.expected_upstream_header,
-            dialect.team_header,
-        ];
         let mut bytes = Vec::with_capacity(512 + self.received.body.len());
         append(
             &mut bytes,
             &[&head.method, " ", &head.target, " HTTP/1.1\r\n"],
         );
         for header in &head.headers.0 {
-            let is_replaced = replaced_fields
+            let is_replaced = replaced
                 .iter()
                 .any(|name| name.eq_ignore_ascii_case(&header.name));
             if is_replaced || head.headers.is_hop_by_hop(&header.name) {
@@ -326,6 +317,22 @@
             bytes.extend_from_slice(&header.value);
             append(&mut bytes, &["\r\n"]);
         }
+        bytes
+    }
+
+    /// Serializes the request for an upstream.
+    ///
+    /// Omits hop-by-hop fields, the caller's credentials and its values of the fields that the router sets.
+    fn encode_request(&self, placed: &SlotPermit, remaining: Duration) -> Vec<u8> {
+        let dialect = &self.vm.dialect;
+        let head = &self.received.head;
+        let replaced_fields = [
+            "authorization",
+            dialect.deadline_header,
+            dialect.expected_upstream_header,
+            dialect.team_header,
+        ];
+        let mut bytes = self.encode_caller_head(&replaced_fields);
         append(
             &mut bytes,
             &[
--- a/crates/kumquat-router/src/gateway/forward.rs
+++ b/crates/kumquat-router/src/gateway/forward.rs
@@ -13,8 +13,8 @@
     ResponseBody, ResponseStream, saturating_millis,
 };
 use crate::errors::Error;
-use crate::http::{BodyReader, HttpConnection, ResponseHead};
-use crate::upstream::{self, BUFFERED_BODY_BYTES};
+use crate::http::{HttpConnection, ResponseHead};
+use crate::upstream::{self, BUFFERED_BODY_BYTES, UpstreamResponse};
 use crate::vm::HelperPermit;
 
 /// VMs to which a request is forwarded in turn, if it was not executed at the ones before.
@@ -26,15 +26,6 @@
 /// Reason of the refusal of a request at a VM that has no path, if no other VM has one.
 const NO_PATH: &str = "no path to the upstreams";
 
-/// A response of another VM whose head and first bytes have arrived.
-struct PeerResponse {
-    head: ResponseHead,
-    body: Vec<u8>,
-    unread_body: BodyReader,
-    content_length: Option<usize>,
-    keep_alive: Option<Duration>,
-}
-
 impl ResolvedRequest<'_> {
     /// Returns whether the request should go to another VM: this one has no path to the service, and it may be sent.
     pub(super) fn should_forward(&self, progress: &RequestProgress) -> bool {
@@ -156,11 +147,11 @@
 
     fn relay_peer_response(
         &self,
-        response: PeerResponse,
+        response: UpstreamResponse,
         wire: HttpConnection,
         permit: HelperPermit,
     ) -> Response {
-        let PeerResponse {
+        let UpstreamResponse {
             head,
             body,
             unread_body,
@@ -196,23 +187,7 @@
     ///
     /// The other VM authenticates the caller, so that the credentials stay.
     fn encode_forwarded(&self, remaining: Duration) -> Vec<u8> {
-        let head = &self.received.head;
-        let mut bytes = Vec::with_capacity(512 + self.received.body.len());
-        append(
-            &mut bytes,
-            &[&head.method, " ", &head.target, " HTTP/1.1\r\n"],
-        );
-        for header in &head.headers.0 {
-            let is_deadline = header
-                .name
-                .eq_ignore_ascii_case(self.vm.dialect.deadline_header);
-            if is_deadline || head.headers.is_hop_by_hop(&header.name) {
-                continue;
-            }
-            append(&mut bytes, &[&header.name, ": "]);
-            bytes.extend_from_slice(&header.value);
-            append(&mut bytes, &["\r\n"]);
-        }
+        let mut bytes = self.encode_caller_head(&[self.vm.dialect.deadline_header]);
         let remaining_ms = saturating_millis(remaining).to_string();
         let length = self.received.body.len().to_string();
         append(
@@ -235,26 +210,12 @@
     wire: &mut HttpConnection,
     method: &str,
     bytes: &[u8],
-) -> Result<PeerResponse, Error> {
+) -> Result<UpstreamResponse, Error> {
     let mut written = 0;
     let head = wire
         .write_and_read_response_head(bytes, &mut written)
         .await?;
     let framing = head.framing(method)?;
-    let (mut body, mut unread_body) = (Vec::new(), BodyReader::new(framing));
-    while !unread_body.is_complete() && body.len() < BUFFERED_BODY_BYTES {
-        let max_read_bytes = BUFFERED_BODY_BYTES - body.len();
-        unread_body.read(wire, &mut body, max_read_bytes).await?;
-    }
-    let is_reusable = head.keeps_alive(framing)
-        && written == bytes.len()
-        && !(unread_body.is_complete() && wire.has_unread());
-    let keep_alive = is_reusable.then(|| upstream::idle_timeout(&head.headers));
-    Ok(PeerResponse {
-        head,
-        body,
-        unread_body,
-        content_length: framing.known_length(),
-        keep_alive,
-    })
+    let is_written = written == bytes.len();
+    upstream::read_response(wire, head, framing, is_written, BUFFERED_BODY_BYTES).await
 }
--- a/crates/kumquat-router/src/upstream.rs
+++ b/crates/kumquat-router/src/upstream.rs
@@ -152,30 +152,51 @@
             let error = Error::Aborted("answer without an id on a reused connection");
             return Err(ExchangeError::OutcomeUnknown(error));
         }
-        let (mut body, mut unread_body) = (Vec::new(), BodyReader::new(framing));
-        while !unread_body.is_complete() && body.len() < max_body_bytes {
-            let max_read_bytes = max_body_bytes - body.len();
-            let read = unread_body.read(wire, &mut body, max_read_bytes).await;
-            read.map_err(ExchangeError::OutcomeUnknown)?;
+        let is_written = written_bytes == request.bytes.len();
+        let response = read_response(wire, head, framing, is_written, max_body_bytes).await;
+        let mut response = response.map_err(ExchangeError::OutcomeUnknown)?;
+        if announces_shutdown(&response.head, dialect) {
+            response.keep_alive = None;
         }
-        let is_reusable = head.keeps_alive(framing)
-            && written_bytes == request.bytes.len()
-            && !announces_shutdown(&head, dialect)
-            && !(unread_body.is_complete() && wire.has_unread());
-        let keep_alive = is_reusable.then(|| idle_timeout(&head.headers));
-        return Ok(UpstreamResponse {
-            content_length: framing.known_length(),
-            head,
-            body,
-            unread_body,
-            keep_alive,
-        });
+        return Ok(response);
     }
     Err(ExchangeError::OutcomeUnknown(Error::Malformed(
         "answers to other requests",
     )))
 }
 
+/// Reads at most `max_body_bytes` of the body that follows a response head.
+///
+/// The connection is reusable only if the request `is_written` completely.
+///
+/// # Errors
+///
+/// Returns an error if the connection fails or the body is malformed.
+pub async fn read_response(
+    wire: &mut HttpConnection,
+    head: ResponseHead,
+    framing: Framing,
+    is_written: bool,
+    max_body_bytes: usize,
+) -> Result<UpstreamResponse, Error> {
+    let (mut body, mut unread_body) = (Vec::new(), BodyReader::new(framing));
+    while !unread_body.is_complete() && body.len() < max_body_bytes {
+        let max_read_bytes = max_body_bytes - body.len();
+        unread_body.read(wire, &mut body, max_read_bytes).await?;
+    }
+    let is_reusable = head.keeps_alive(framing)
+        && is_written
+        && !(unread_body.is_complete() && wire.has_unread());
+    let keep_alive = is_reusable.then(|| idle_timeout(&head.headers));
+    Ok(UpstreamResponse {
+        content_length: framing.known_length(),
+        head,
+        body,
+        unread_body,
+        keep_alive,
+    })
+}
+
 /// Reads a body and discards it.
 async fn skip_body(wire: &mut HttpConnection, framing: Framing) -> Result<(), Error> {
     let (mut chunk, mut unread_body, mut skipped_bytes) = (Vec::new(), BodyReader::new(framing), 0);
@@ -244,8 +265,7 @@
 }
 
 /// Returns for how long a connection may stay idle, from the `timeout` parameter of `Keep-Alive`.
-#[must_use]
-pub fn idle_timeout(headers: &Headers) -> Duration {
+fn idle_timeout(headers: &Headers) -> Duration {
     let seconds = headers.get_str("keep-alive").and_then(|value| {
         let mut parameters = value.split(',').map(str::trim);
         parameters.find_map(|parameter| parameter.strip_prefix("timeout=")?.parse().ok())
