Derive fingerprints, lookups and the end of a stop in one place each

Found in the read-through of the change: admission built a fingerprint beside the one of the resolved request, two callers spawned the check of an ended upstream by hand, the paths had a binary search of their own beside the sorted module, and the time of a stop's last answers was calculated twice. The request calculates its fingerprint, the VM spawns the check, sorted has get_mut, and one function gives that time.

--- a/crates/kumquat-coordination/src/fleet/path.rs
+++ b/crates/kumquat-coordination/src/fleet/path.rs
@@ -102,13 +102,11 @@
         true
     }
 
-    /// Makes probes due because the path to another service was lost; returns whether they are.
-    pub fn suspect(&mut self, now: Instant) -> bool {
-        let is_due = self.state == PathState::Intact && now >= self.next_probe_at;
-        if is_due {
+    /// Makes probes due because the path to another service was lost, unless some were made lately.
+    pub fn suspect(&mut self, now: Instant) {
+        if self.state == PathState::Intact && now >= self.next_probe_at {
             self.state = PathState::Suspected;
         }
-        is_due
     }
 
     /// Returns the time until the next round of probes is due, or `None` while the path is intact.
--- a/crates/kumquat-router/src/gateway.rs
+++ b/crates/kumquat-router/src/gateway.rs
@@ -299,14 +299,6 @@
     if is_keyed && key.is_none() {
         return reject(400, "no key number");
     }
-    let fingerprint = OnceCell::new();
-    let content = || {
-        *fingerprint.get_or_init(|| fingerprint::of(team.map(|team| &*team.name), route, received))
-    };
-    if let Some(wait) = vm.quarantine_wait(content) {
-        entry.reason = QUARANTINED;
-        return Response::with_retry_after(503, entry.reason, wait);
-    }
     let request = ResolvedRequest {
         vm,
         route,
@@ -322,8 +314,12 @@
         attempt_id,
         deadline,
         flags,
-        fingerprint,
+        fingerprint: OnceCell::new(),
     };
+    if let Some(wait) = vm.quarantine_wait(|| request.fingerprint()) {
+        entry.reason = QUARANTINED;
+        return Response::with_retry_after(503, entry.reason, wait);
+    }
     entry.service = request.target.service.to_string();
     entry.key = request.target.key;
     // A forwarded request takes its token and counts as a request at the VM that serves it.
--- a/crates/kumquat-router/src/gateway/attempt.rs
+++ b/crates/kumquat-router/src/gateway/attempt.rs
@@ -90,10 +90,7 @@
         let upstream = has_ended.then(|| placed.upstream.clone());
         let action = self.handle_result(result, latency, placed, wire, progress);
         if let Some(upstream) = upstream {
-            let (vm, fingerprint) = (Rc::clone(self.vm), self.fingerprint());
-            tokio::task::spawn_local(async move {
-                vm.check_upstream_end(&upstream, fingerprint).await;
-            });
+            self.vm.spawn_end_check(upstream, self.fingerprint());
         }
         if !progress.may_have_executed {
             self.flags.must_finish.set(false);
--- a/crates/kumquat-router/src/gateway/stream.rs
+++ b/crates/kumquat-router/src/gateway/stream.rs
@@ -129,10 +129,8 @@
             .with_label_values(&["broken"])
             .inc();
         if error.is_connection_end() {
-            let (vm, upstream) = (Rc::clone(&self.vm), placed.upstream.clone());
-            tokio::task::spawn_local(async move {
-                vm.check_upstream_end(&upstream, fingerprint).await;
-            });
+            self.vm
+                .spawn_end_check(placed.upstream.clone(), fingerprint);
         }
         placed.complete(
             AttemptOutcome::Failed {
--- a/crates/kumquat-router/src/vm.rs
+++ b/crates/kumquat-router/src/vm.rs
@@ -199,13 +199,17 @@
     #[must_use]
     pub fn last_answers_at(&self) -> Option<Instant> {
         let started_at = *self.shutdown_started_at.borrow();
-        Some(started_at? + self.bounds.shutdown_grace.mul_f64(ANSWER_GRACE_FRACTION))
+        started_at.map(|started_at| self.answers_end(started_at))
+    }
+
+    /// Returns when a VM whose shutdown started at `started_at` gives its last answers.
+    fn answers_end(&self, started_at: Instant) -> Instant {
+        started_at + self.bounds.shutdown_grace.mul_f64(ANSWER_GRACE_FRACTION)
     }
 
     /// Waits until a graceful shutdown has come to its last answers.
     pub async fn last_answers_due(&self) {
-        let started_at = self.shutdown_started().await;
-        let due_at = started_at + self.bounds.shutdown_grace.mul_f64(ANSWER_GRACE_FRACTION);
+        let due_at = self.answers_end(self.shutdown_started().await);
         tokio::time::sleep(clock::now().until(due_at)).await;
     }
 
--- a/crates/kumquat-router/src/vm/path.rs
+++ b/crates/kumquat-router/src/vm/path.rs
@@ -45,8 +45,8 @@
     /// Records that an upstream of a service sent an answer to this VM.
     pub fn record_path_success(&self, service: &str) {
         let mut state = self.state.borrow_mut();
-        if let Ok(position) = position(&state.paths, service) {
-            state.paths[position].1.record_success();
+        if let Some(path) = sorted::get_mut(&mut state.paths, service) {
+            path.record_success();
         }
     }
 
@@ -144,10 +144,10 @@
     fn record_probes(&self, service: &Arc<str>, reached: usize, tried: usize) {
         let now = clock::now();
         let mut state = self.state.borrow_mut();
-        let Ok(position) = position(&state.paths, service) else {
+        let Some(path) = sorted::get_mut(&mut state.paths, &**service) else {
             return;
         };
-        let change = state.paths[position].1.record_probes(now, reached, tried);
+        let change = path.record_probes(now, reached, tried);
         if let Some(PathChange::Lost { .. }) = change {
             // What cuts off one service mostly cuts off the others as well.
             let config = state.config.clone();
@@ -177,7 +177,3 @@
         }
     }
 }
-
-fn position(paths: &[(Arc<str>, PathMonitor)], service: &str) -> Result<usize, usize> {
-    paths.binary_search_by(|(name, _)| (**name).cmp(service))
-}
--- a/crates/kumquat-router/src/vm/quarantine.rs
+++ b/crates/kumquat-router/src/vm/quarantine.rs
@@ -72,10 +72,18 @@
         }
     }
 
-    /// Finds out whether an upstream has ended, after its connection ended during an exchange.
+    /// Starts to find out whether an upstream has ended, after its connection ended during an exchange.
     ///
+    /// Retries don't wait for the result, which counts only after another upstream's answer anyway.
+    pub fn spawn_end_check(self: &Rc<Self>, upstream: UpstreamInstance, fingerprint: Fingerprint) {
+        let vm = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            vm.check_upstream_end(&upstream, fingerprint).await;
+        });
+    }
+
     /// Only an address that refuses connections counts as ended. A connection that is established serves a later request.
-    pub async fn check_upstream_end(&self, upstream: &UpstreamInstance, fingerprint: Fingerprint) {
+    async fn check_upstream_end(&self, upstream: &UpstreamInstance, fingerprint: Fingerprint) {
         let connected = upstream::connect(upstream.address, upstream::CONNECT_TIMEOUT).await;
         match connected {
             Ok(wire) => {
--- a/crates/kumquat-router/src/vm/reports.rs
+++ b/crates/kumquat-router/src/vm/reports.rs
@@ -66,7 +66,8 @@
         }
     }
 
-    /// Returns whether this VM's use of a rate or limit, or what it knows of a request that ends upstreams, must reach the peers before the next full report is due.
+    /// Returns whether the peers must be told something before the next full report is due: this VM's use of a rate or
+    /// limit, or what it knows of a request that ends upstreams.
     #[must_use]
     pub fn is_early_report_due(&self) -> bool {
         let state = self.state.borrow();
