Review: no VM comes back if its desired state is large and its link narrow

Case 3, a script: the answer that holds a desired state of 814 KB takes 0.87 s at 10 Mbit/s, and each try to read it ends after 0.8 s.

--- a/review/standins/src/endless.rs
+++ b/review/standins/src/endless.rs
@@ -148,6 +148,7 @@
     let site = Site {
         memory_mb: 260,
         contact_s: 3.0,
+        link_mbps: 1000.0,
     };
     let ip = format!("127.{}.41.1", case.block);
     let mut vm = Vm::start(&case.scratch, &ip, 1, zone, store.address, site);
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -8,6 +8,7 @@
 mod json;
 mod proxy;
 mod record;
+mod restart;
 mod silent;
 mod store;
 mod target;
@@ -54,6 +55,7 @@
         block: u8::try_from(200 + std::process::id() % 50).unwrap_or(200),
     };
     let outcome = match case.as_str() {
+        "restart" => restart::run(&context),
         "silent" => silent::run(&context),
         "endless" => endless::run(&context),
         _ => Outcome::Unable,
--- a/review/standins/src/proxy.rs
+++ b/review/standins/src/proxy.rs
@@ -1,11 +1,12 @@
-//! A loopback proxy whose open connections can go silent for good while new ones work.
+//! A loopback proxy whose open connections can go silent for good while new ones work, and which can have the bandwidth
+//! of a machine's link.
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time after which a kernel with keep-alive probes would have given up a silent connection of the VMs.
 const PROBES_GIVE_UP: Duration = Duration::from_secs(3);
@@ -24,6 +25,12 @@
 
 impl Proxy {
     pub fn start(target: SocketAddr) -> Self {
+        Self::with_bandwidth(target, None)
+    }
+
+    /// Starts a proxy that passes on no more bytes a second to its clients, over all connections together.
+    pub fn with_bandwidth(target: SocketAddr, bytes_per_s: Option<f64>) -> Self {
+        let bandwidth = bytes_per_s.map(|rate| Arc::new(Bandwidth::new(rate)));
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let links = Arc::new(Mutex::new(Vec::new()));
@@ -50,8 +57,9 @@
                     server.try_clone().expect("a descriptor"),
                 );
                 let there = Arc::clone(&link);
-                thread::spawn(move || pump(client, server, &there));
-                thread::spawn(move || pump(server_end, client_end, &link));
+                let bandwidth = bandwidth.clone();
+                thread::spawn(move || pump(client, server, &there, None));
+                thread::spawn(move || pump(server_end, client_end, &link, bandwidth.as_deref()));
             }
         });
         proxy
@@ -82,7 +90,33 @@
     }
 }
 
-fn pump(mut from: TcpStream, mut to: TcpStream, link: &Link) {
+/// The bandwidth of a link, as the time at which it is free again.
+struct Bandwidth {
+    bytes_per_s: f64,
+    free_at: Mutex<Instant>,
+}
+
+impl Bandwidth {
+    fn new(bytes_per_s: f64) -> Self {
+        Self {
+            bytes_per_s,
+            free_at: Mutex::new(Instant::now()),
+        }
+    }
+
+    /// Waits for as long as the link takes for so many bytes.
+    fn carry(&self, bytes: usize) {
+        let done_at = {
+            let mut free_at = self.free_at.lock().expect("no panic");
+            let time = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+            *free_at = (*free_at).max(Instant::now()) + time;
+            *free_at
+        };
+        thread::sleep(done_at.saturating_duration_since(Instant::now()));
+    }
+}
+
+fn pump(mut from: TcpStream, mut to: TcpStream, link: &Link, bandwidth: Option<&Bandwidth>) {
     let mut bytes = [0; 16 * 1024];
     loop {
         let count = from.read(&mut bytes).unwrap_or(0);
@@ -93,6 +127,9 @@
             }
             continue;
         }
+        if let Some(bandwidth) = bandwidth {
+            bandwidth.carry(count);
+        }
         if count == 0 || to.write_all(&bytes[..count]).is_err() {
             let _ = to.shutdown(Shutdown::Both);
             return;
--- a/review/standins/src/silent.rs
+++ b/review/standins/src/silent.rs
@@ -56,6 +56,7 @@
     let site = Site {
         memory_mb: 260,
         contact_s: CONTACT.as_secs_f64(),
+        link_mbps: 1000.0,
     };
     let mut paths = Vec::new();
     let mut vms = Vec::new();
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -9,6 +9,10 @@
 use crate::http::{Connection, listen, response};
 use crate::json::{Json, base64};
 
+/// Items of a page of a range, and bytes of their values; an item that is larger has a page of its own.
+const PAGE_ITEMS: usize = 500;
+const PAGE_BYTES: usize = 1_000_000;
+
 struct Item {
     value: String,
     revision: u64,
@@ -226,17 +230,27 @@
     }
 
     fn range(&self, query: &str) -> (u16, String) {
-        let prefix = parameter(query, "prefix");
-        let items: Vec<String> = self
-            .items
-            .iter()
-            .filter(|(key, _)| key.starts_with(&prefix))
-            .map(|(key, item)| item.render(key))
-            .collect();
+        let (prefix, after) = (parameter(query, "prefix"), parameter(query, "after"));
+        let (mut items, mut bytes, mut has_more) = (Vec::new(), 0, false);
+        for (key, item) in &self.items {
+            if !key.starts_with(&prefix) || *key <= after {
+                continue;
+            }
+            if items.len() >= PAGE_ITEMS
+                || bytes + item.value.len() > PAGE_BYTES && !items.is_empty()
+            {
+                has_more = true;
+                break;
+            }
+            bytes += item.value.len();
+            items.push(item.render(key));
+        }
         let (items, revision) = (items.join(","), self.revision);
         (
             200,
-            format!("{{\"items\":[{items}],\"has-more\":false,\"store-revision\":{revision}}}"),
+            format!(
+                "{{\"items\":[{items}],\"has-more\":{has_more},\"store-revision\":{revision}}}"
+            ),
         )
     }
 
--- a/review/standins/src/vm.rs
+++ b/review/standins/src/vm.rs
@@ -17,6 +17,7 @@
 pub struct Site {
     pub memory_mb: u32,
     pub contact_s: f64,
+    pub link_mbps: f64,
 }
 
 pub struct Vm {
@@ -40,12 +41,12 @@
     ) -> Self {
         let name = format!("front-{zone}-{number}");
         let settings = folder.join(format!("{name}.conf"));
-        let (memory_mb, contact_s) = (site.memory_mb, site.contact_s);
+        let (memory_mb, contact_s, link_mbps) = (site.memory_mb, site.contact_s, site.link_mbps);
         let text = format!(
             "grants=call\nself.node-name={name}\nself.role=router\nself.machine-class=front\nself.serves=front\n\
              self.ip={ip}\nself.zone={zone}\nself.region=mu-north\nself.in-tolerance=false\nself.bootstrap=true\n\
              self.limits.cpu-share=0.2\nself.limits.cpu-cores=1\nself.limits.memory-mb={memory_mb}\n\
-             self.limits.max-fds=4100\nself.limits.link-mbps=1000.0\nself.limits.disk-mb=0\n\
+             self.limits.max-fds=4100\nself.limits.link-mbps={link_mbps:.1}\nself.limits.disk-mb=0\n\
              network.listen-addrs.front={ip}:8045\nnetwork.listen-addrs.readiness={ip}:8048\n\
              network.internal-ports=7100,7115\nnetwork.zones.mu-north-a=mu-north\n\
              network.zones.mu-north-b=mu-north\nnetwork.zones.mu-north-c=mu-north\n\
@@ -82,6 +83,23 @@
         self.child = Some(child.expect("the program of the deploy file's build"));
     }
 
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // It may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Starts a killed process again, with the settings of a start that is not the first.
+    pub fn restart(&mut self) {
+        let text = fs::read_to_string(&self.settings).expect("a settings file");
+        let text = text.replace("self.bootstrap=true", "self.bootstrap=false");
+        fs::write(&self.settings, text).expect("a settings file");
+        self.spawn();
+    }
+
     /// Asks as the platform's balancer does; returns the time that the answer took.
     pub fn ready(&self, limit: Duration) -> Option<Duration> {
         let asked = Instant::now();
@@ -102,6 +120,12 @@
         false
     }
 
+    /// Returns how many lines of the VM's log contain a text.
+    pub fn count_in_log(&self, text: &str) -> usize {
+        let log = fs::read_to_string(&self.log).unwrap_or_default();
+        log.lines().filter(|line| line.contains(text)).count()
+    }
+
     /// Returns whether the process still runs.
     pub fn is_running(&mut self) -> bool {
         self.child
@@ -112,10 +136,6 @@
 
 impl Drop for Vm {
     fn drop(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            // It may have ended by itself.
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.kill();
     }
 }
