Measure by how much timers of the event loop fire late

A stalled event loop and a busy one looked the same. The maintenance task now records by how much its timer fires late, in kumquat_vm_event_loop_delay_seconds, and from 250 ms on writes the line "event loop stalled". It costs no wake-up of its own.

Nothing else changes.

--- a/crates/kumquat-router/src/metrics.rs
+++ b/crates/kumquat-router/src/metrics.rs
@@ -50,6 +50,8 @@
     pub queued_requests: IntGauge,
     /// Open connections from callers.
     pub caller_connections: IntGauge,
+    /// Time by which timers of the event loop fire late, in seconds.
+    pub event_loop_delay: Histogram,
 }
 
 impl Metrics {
@@ -147,6 +149,10 @@
                 "kumquat_vm_caller_connections",
                 "Open connections of callers.",
             )?,
+            event_loop_delay: histogram(
+                "kumquat_vm_event_loop_delay_seconds",
+                "Time by which timers of the event loop fire late.",
+            )?,
             registry,
         })
     }
--- a/crates/kumquat-router/src/vm.rs
+++ b/crates/kumquat-router/src/vm.rs
@@ -9,7 +9,7 @@
 use kumquat_coordination::fleet::{OwnershipMap, Quarantine, UpstreamInstance, WeightedRoundRobin};
 use kumquat_state::clock::{self, Instant};
 use rand::RngExt as _;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::sync::{Notify, watch};
 
 use crate::access_log::AccessLog;
@@ -37,6 +37,9 @@
 /// Interval at which queued requests are retried and expired when no other event triggers a dispatch.
 const QUEUE_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Delay of a timer from which it is logged; shorter ones only count in the histogram.
+const MIN_LOGGED_DELAY: Duration = Duration::from_millis(250);
+
 /// Interval at which expired idle connections are closed.
 const POOL_SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -538,7 +541,9 @@
             } else {
                 QUEUE_POLL_INTERVAL * 5
             };
+            let due_at = clock::now() + interval;
             tokio::time::sleep(interval).await;
+            self.record_event_loop_delay(clock::now().saturating_since(due_at));
             if has_queued {
                 self.dispatch_queued();
             }
@@ -548,6 +553,15 @@
             }
         }
     }
+
+    /// Records by how much a timer fired late, during which the process served nobody.
+    fn record_event_loop_delay(&self, delay: Duration) {
+        self.metrics.event_loop_delay.observe(delay.as_secs_f64());
+        if delay >= MIN_LOGGED_DELAY {
+            let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+            warn!(self.log, "event loop stalled"; "delay_ms" => delay_ms, "queued" => self.queue_length());
+        }
+    }
 }
 
 /// Returns the 32-bit hash that stands for the name of a team or service in reports.
