Count reads and writes of connections towards the budget of their task

Cause: HttpConnection waits by readable() and then uses the socket's own try_read and try_write, which do not count towards the budget of a tokio task. While the upstream always sends and the caller always reads, the task never yields, and nothing else runs, timers included.

Change: each read and write counts, and each kilobyte once more, so that a turn ends after some 128 KB whatever its form. Consumed input is skipped by an index, and a body's buffered chunks are passed on together.

The same cause stood in request bodies, skipped answers, discarded input, pages and forwarded requests, which share these functions.

--- a/crates/kumquat-router/src/http.rs
+++ b/crates/kumquat-router/src/http.rs
@@ -5,6 +5,7 @@
 use crate::errors::{Error, Result};
 
 mod body;
+mod buffer;
 mod connection;
 
 pub use body::BodyReader;
--- a/crates/kumquat-router/src/http/body.rs
+++ b/crates/kumquat-router/src/http/body.rs
@@ -31,6 +31,14 @@
     Complete,
 }
 
+/// What reading the connection's buffer came to.
+enum Step {
+    /// An element of the body was read.
+    Advanced,
+    /// More input is needed, for which at least this much buffer space is to be reserved.
+    NeedsInput(usize),
+}
+
 /// Reads one message body, whose length is determined by its framing.
 ///
 /// It holds only the position in the body; the bytes come from the connection's buffer and go to the caller's.
@@ -73,7 +81,7 @@
         }
     }
 
-    /// Appends between one and `max_bytes` bytes of the body to `output`, or none if the body ends.
+    /// Appends up to `max_bytes` bytes of the body to `output`: all that is buffered, and at least one unless the body ends.
     ///
     /// `max_bytes` must not be 0.
     ///
@@ -86,9 +94,14 @@
         output: &mut Vec<u8>,
         max_bytes: usize,
     ) -> Result<()> {
+        let end = output.len().saturating_add(max_bytes);
         let start = output.len();
-        while output.len() == start && !self.is_complete() {
-            self.read_element(connection, output, max_bytes).await?;
+        while output.len() < end && !self.is_complete() {
+            match self.read_buffered(connection, output, end - output.len())? {
+                Step::Advanced => {}
+                Step::NeedsInput(_) if output.len() > start => break,
+                Step::NeedsInput(min_bytes) => self.fill(connection, min_bytes).await?,
+            }
         }
         Ok(())
     }
@@ -100,97 +113,104 @@
         output: &mut Vec<u8>,
         max_bytes: usize,
     ) -> Result<()> {
-        self.state = match self.state {
-            State::Complete => State::Complete,
+        while let Step::NeedsInput(min_bytes) = self.read_buffered(connection, output, max_bytes)? {
+            self.fill(connection, min_bytes).await?;
+        }
+        Ok(())
+    }
+
+    /// Reads one element of the body, if the connection's buffer holds it.
+    fn read_buffered(
+        &mut self,
+        connection: &mut HttpConnection,
+        output: &mut Vec<u8>,
+        max_bytes: usize,
+    ) -> Result<Step> {
+        let next = match self.state {
+            State::Complete => Some(State::Complete),
+            State::Data(_) | State::UntilClose if connection.unread().is_empty() => None,
             State::Data(remaining) => {
-                if connection.unread().is_empty() {
-                    fill_or_fail(connection, remaining.min(MAX_BODY_READ_BYTES)).await?;
-                }
-                match remaining - connection.move_unread_to(output, remaining.min(max_bytes)) {
+                let moved = connection.move_unread_to(output, remaining.min(max_bytes));
+                Some(match remaining - moved {
                     0 if self.is_chunked => State::ChunkEnd,
                     0 => State::Complete,
                     remaining => State::Data(remaining),
-                }
+                })
             }
             State::UntilClose => {
-                if connection.unread().is_empty()
-                    && connection.fill_buffer(MIN_READ_BYTES).await? == 0
-                {
-                    State::Complete
-                } else {
-                    connection.move_unread_to(output, max_bytes);
-                    State::UntilClose
-                }
+                connection.move_unread_to(output, max_bytes);
+                Some(State::UntilClose)
             }
-            State::ChunkSize => match read_chunk_size(connection).await? {
+            State::ChunkSize => parse_chunk_size(connection)?.map(|size| match size {
                 0 => State::Trailers,
                 size => State::Data(size),
-            },
+            }),
+            State::ChunkEnd if connection.unread().len() < 2 => None,
             State::ChunkEnd => {
-                while connection.unread().len() < 2 {
-                    fill_or_fail(connection, MIN_READ_BYTES).await?;
-                }
                 if !connection.unread().starts_with(b"\r\n") {
                     return Err(Error::Malformed("chunk end"));
                 }
                 connection.consume(2);
-                State::ChunkSize
-            }
-            State::Trailers => {
-                skip_trailers(connection).await?;
-                State::Complete
+                Some(State::ChunkSize)
             }
+            State::Trailers => skip_trailers(connection)?.then_some(State::Complete),
         };
-        Ok(())
+        let Some(next) = next else {
+            let min_bytes = match self.state {
+                State::Data(remaining) => remaining.min(MAX_BODY_READ_BYTES),
+                _ => MIN_READ_BYTES,
+            };
+            return Ok(Step::NeedsInput(min_bytes));
+        };
+        self.state = next;
+        Ok(Step::Advanced)
     }
-}
 
-/// Reads at least one byte into the connection's buffer; the end of the connection is an error.
-async fn fill_or_fail(connection: &mut HttpConnection, min_bytes: usize) -> Result<()> {
-    match connection.fill_buffer(min_bytes).await? {
-        0 => Err(Error::Truncated),
-        _ => Ok(()),
+    /// Reads at least one byte into the connection's buffer; the end of the connection can only end a body without a
+    /// length.
+    async fn fill(&mut self, connection: &mut HttpConnection, min_bytes: usize) -> Result<()> {
+        match connection.fill_buffer(min_bytes).await? {
+            0 if self.state == State::UntilClose => self.state = State::Complete,
+            0 => return Err(Error::Truncated),
+            _ => {}
+        }
+        Ok(())
     }
 }
 
-/// Reads and consumes a chunk-size line.
-async fn read_chunk_size(connection: &mut HttpConnection) -> Result<usize> {
-    loop {
-        // The parser takes a line without digits for the size 0, which ends the body.
-        let first = connection.unread().first();
-        if first.is_some_and(|byte| !byte.is_ascii_hexdigit()) {
-            return Err(Error::Malformed("chunk size"));
+/// Parses and consumes a chunk-size line; returns `None` if it is incomplete.
+fn parse_chunk_size(connection: &mut HttpConnection) -> Result<Option<usize>> {
+    // The parser takes a line without digits for the size 0, which ends the body.
+    let first = connection.unread().first();
+    if first.is_some_and(|byte| !byte.is_ascii_hexdigit()) {
+        return Err(Error::Malformed("chunk size"));
+    }
+    match httparse::parse_chunk_size(connection.unread()) {
+        Ok(httparse::Status::Complete((line_length, size))) => {
+            connection.consume(line_length);
+            let size = usize::try_from(size).map_err(|_overflow| Error::TooLarge("chunk"))?;
+            Ok(Some(size))
         }
-        match httparse::parse_chunk_size(connection.unread()) {
-            Ok(httparse::Status::Complete((line_length, size))) => {
-                connection.consume(line_length);
-                return usize::try_from(size).map_err(|_overflow| Error::TooLarge("chunk"));
-            }
-            Ok(httparse::Status::Partial) if connection.unread().len() > MAX_CHUNK_LINE_BYTES => {
-                return Err(Error::TooLarge("chunk head"));
-            }
-            Ok(httparse::Status::Partial) => fill_or_fail(connection, MIN_READ_BYTES).await?,
-            Err(_) => return Err(Error::Malformed("chunk size")),
+        Ok(httparse::Status::Partial) if connection.unread().len() > MAX_CHUNK_LINE_BYTES => {
+            Err(Error::TooLarge("chunk head"))
         }
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(_) => Err(Error::Malformed("chunk size")),
     }
 }
 
-/// Reads and discards the trailer fields after the last chunk.
-async fn skip_trailers(connection: &mut HttpConnection) -> Result<()> {
-    loop {
-        let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        match httparse::parse_headers(connection.unread(), &mut fields) {
-            Ok(httparse::Status::Complete((length, _))) => {
-                connection.consume(length);
-                return Ok(());
-            }
-            Ok(httparse::Status::Partial)
-                if connection.unread().len() > MAX_RESPONSE_HEAD_BYTES =>
-            {
-                return Err(Error::TooLarge("trailer"));
-            }
-            Ok(httparse::Status::Partial) => fill_or_fail(connection, MIN_READ_BYTES).await?,
-            Err(_) => return Err(Error::Malformed("trailer")),
+/// Discards the trailer fields after the last chunk; returns whether they were complete.
+fn skip_trailers(connection: &mut HttpConnection) -> Result<bool> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    match httparse::parse_headers(connection.unread(), &mut fields) {
+        Ok(httparse::Status::Complete((length, _))) => {
+            connection.consume(length);
+            Ok(true)
+        }
+        Ok(httparse::Status::Partial) if connection.unread().len() > MAX_RESPONSE_HEAD_BYTES => {
+            Err(Error::TooLarge("trailer"))
         }
+        Ok(httparse::Status::Partial) => Ok(false),
+        Err(_) => Err(Error::Malformed("trailer")),
     }
 }
--- a/crates/kumquat-router/src/http/connection.rs
+++ b/crates/kumquat-router/src/http/connection.rs
@@ -8,8 +8,10 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::Interest;
 use tokio::net::TcpStream;
+use tokio::task::coop::consume_budget;
 
 use super::body::BodyReader;
+use super::buffer::ReadBuffer;
 use super::{Framing, MAX_HEADERS, MAX_RESPONSE_HEAD_BYTES, RequestHead, ResponseHead, to_headers};
 use crate::errors::{Error, Result};
 
@@ -19,6 +21,11 @@
 /// Largest amount of pipelined requests that is buffered while earlier requests are being served.
 const MAX_READ_AHEAD_BYTES: usize = 32 * 1024;
 
+/// Bytes read or written that count as one unit of the budget of a task, which has 128 of them before it yields.
+///
+/// It bounds the time for which a connection with endless input keeps other tasks waiting, whatever the size of its reads.
+const BYTES_PER_BUDGET_UNIT: usize = 1024;
+
 /// Interval between the reads that discard input beyond [`MAX_READ_AHEAD_BYTES`].
 ///
 /// The end of a connection shows only after all bytes before it were read. The interval bounds the CPU time of reading
@@ -46,10 +53,15 @@
 }
 
 /// A TCP connection with the bytes that were read from it and not consumed yet.
+///
+/// Each read and write counts towards the budget of its task. A peer that always sends, or always reads, would otherwise
+/// keep the event loop from all other tasks, because the socket's own non-blocking calls do not count.
 #[derive(Debug)]
 pub struct HttpConnection {
     stream: TcpStream,
-    buffer: Vec<u8>,
+    buffer: ReadBuffer,
+    // Bytes read and written that do not count towards the budget of the task yet.
+    uncharged_bytes: usize,
     has_discarded_input: bool,
     has_had_response: bool,
 }
@@ -68,7 +80,8 @@
         let _unsupported = socket.set_tcp_nodelay(true);
         Self {
             stream,
-            buffer: Vec::new(),
+            buffer: ReadBuffer::default(),
+            uncharged_bytes: 0,
             has_discarded_input: false,
             has_had_response: false,
         }
@@ -126,23 +139,17 @@
 
     /// Returns the bytes that were read and not consumed.
     pub(super) fn unread(&self) -> &[u8] {
-        &self.buffer
+        self.buffer.unread()
     }
 
     /// Removes `length` bytes from the front of the buffer.
     pub fn consume(&mut self, length: usize) {
-        self.buffer.drain(..length);
+        self.buffer.consume(length);
     }
 
     /// Moves up to `max_bytes` unread bytes to the end of `output`; returns how many.
     pub(super) fn move_unread_to(&mut self, output: &mut Vec<u8>, max_bytes: usize) -> usize {
-        let count = max_bytes.min(self.buffer.len());
-        if output.is_empty() && count == self.buffer.len() {
-            std::mem::swap(output, &mut self.buffer);
-        } else {
-            output.extend(self.buffer.drain(..count));
-        }
-        count
+        self.buffer.move_to(output, max_bytes)
     }
 
     /// Waits until bytes can be read or the peer closes the connection, without holding a buffer.
@@ -152,7 +159,7 @@
     /// Returns an error if the connection fails.
     pub async fn wait_readable(&mut self) -> Result<()> {
         if self.buffer.is_empty() {
-            self.buffer = Vec::new();
+            self.buffer = ReadBuffer::default();
             // `readable` also returns for a new connection without input.
             self.stream.peek(&mut [0_u8]).await?;
         }
@@ -192,19 +199,29 @@
 
     /// Reads and discards input until the peer closes the connection.
     pub async fn discard_until_closed(&mut self) {
-        self.buffer = Vec::new();
+        self.buffer = ReadBuffer::default();
         while matches!(self.fill_buffer(MIN_READ_BYTES).await, Ok(1..)) {
             self.buffer.clear();
         }
     }
 
+    /// Counts a read or write, and the bytes of those before it, towards the budget of the task.
+    async fn charge(&mut self) {
+        for _ in 0..=std::mem::take(&mut self.uncharged_bytes) / BYTES_PER_BUDGET_UNIT {
+            consume_budget().await;
+        }
+    }
+
     /// Reads once, with buffer space for at least `min_bytes`; returns the number of bytes, 0 at the end of the stream.
     pub(super) async fn fill_buffer(&mut self, min_bytes: usize) -> Result<usize> {
         loop {
+            self.charge().await;
             self.stream.readable().await?;
-            self.buffer.reserve(min_bytes);
-            match self.stream.try_read_buf(&mut self.buffer) {
-                Ok(count) => return Ok(count),
+            match self.stream.try_read_buf(self.buffer.reserve(min_bytes)) {
+                Ok(count) => {
+                    self.uncharged_bytes += count;
+                    return Ok(count);
+                }
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
                 Err(error) => return Err(error.into()),
             }
@@ -250,11 +267,11 @@
         max_bytes: usize,
     ) -> Result<Option<PeekedRequest>> {
         // Parsing an incomplete head would start over with each packet that arrives.
-        if contains_head_end(&self.buffer, search_from) {
+        if contains_head_end(self.unread(), search_from) {
             let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
             let mut parsed = httparse::Request::new(&mut fields);
             let status = parsed
-                .parse(&self.buffer)
+                .parse(self.unread())
                 .map_err(|_invalid| Error::Malformed("request head"))?;
             if let httparse::Status::Complete(head_length) = status {
                 if head_length > max_bytes {
@@ -324,8 +341,10 @@
 
     /// Writes some of `bytes` or, if the peer accepts no more for now, reads what it sends.
     async fn write_or_read(&mut self, bytes: &[u8], written: &mut usize) -> Result<()> {
+        self.charge().await;
         match self.stream.try_write(&bytes[*written..]) {
             Ok(count) => {
+                self.uncharged_bytes += count;
                 *written += count;
                 return Ok(());
             }
@@ -336,10 +355,15 @@
         if !self.stream.ready(interest).await?.is_readable() {
             return Ok(());
         }
-        self.buffer.reserve(MIN_READ_BYTES);
-        match self.stream.try_read_buf(&mut self.buffer) {
+        match self
+            .stream
+            .try_read_buf(self.buffer.reserve(MIN_READ_BYTES))
+        {
             Ok(0) => Err(Error::Truncated),
-            Ok(_) => Ok(()),
+            Ok(count) => {
+                self.uncharged_bytes += count;
+                Ok(())
+            }
             Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => Ok(()),
             Err(error) => Err(error.into()),
         }
@@ -349,14 +373,14 @@
         // The first bytes are parsed at once, so that a peer that does not speak HTTP is rejected early. After that the
         // head is parsed only when it may be complete, as it can arrive byte by byte.
         if self.buffer.is_empty()
-            || (search_from > 0 && !contains_head_end(&self.buffer, search_from))
+            || (search_from > 0 && !contains_head_end(self.unread(), search_from))
         {
             return self.check_response_head_size().map(|()| None);
         }
         let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut parsed = httparse::Response::new(&mut fields);
         let status = parsed
-            .parse(&self.buffer)
+            .parse(self.unread())
             .map_err(|_invalid| Error::Malformed("answer head"))?;
         match status {
             httparse::Status::Complete(length) => {
@@ -415,11 +439,15 @@
     /// # Errors
     ///
     /// Returns an error if the connection fails; part of the bytes may then have been sent.
-    pub async fn write_all(&self, bytes: &[u8]) -> Result<()> {
+    pub async fn write_all(&mut self, bytes: &[u8]) -> Result<()> {
         let mut written = 0;
         while written < bytes.len() {
+            self.charge().await;
             match self.stream.try_write(&bytes[written..]) {
-                Ok(count) => written += count,
+                Ok(count) => {
+                    self.uncharged_bytes += count;
+                    written += count;
+                }
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
                     self.stream.writable().await?;
                 }
