Bound the transfer of a store's answer by its progress

On 0 of 198 payments were served from 15 s after the start on, 0 of 2 VMs were ready, with 34 lines "store lost".

Cause: the time limit of 0.8 s covered the whole answer, whose 1.08 MB in base64 take 0.87 s at that rate. Each read failed after 0.8 s with most of the bytes there and started over. Ruled out: renewals that share the link (each was answered right after a failed read), and the decoding of the state (no line of the decoder; it is in force once it has arrived).

Change: an answer has to begin within the time limit of its call. After that it may go on while bytes arrive, with pauses of 0.8 s at most and 100 KB a second on average. The decision is kumquat_coordination::transfer, without I/O. A watch whose answer is arriving is not ended when the store is regained or a peer is ahead, because each would start the transfer over.

The same cause does not stand in the upstream client (requests have deadlines of their own) nor in the writes, whose values are small.

--- a/crates/kumquat-coordination/src/lib.rs
+++ b/crates/kumquat-coordination/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod queue;
 pub mod role;
 pub mod routing;
+pub mod transfer;
