Count VMs that report as peers although their registrations are gone

Cause: registrations end with their leases. When the store is back, each VM reads an empty registry, logs "peers changed" with no name, and divides rates, warm-up limits and retry slack by one, while it hears the reports of all others. It also stops to send its own. Ruled out: use without reports during the outage (the excess lies after it), and full bursts (it also comes with buckets in use).

Change: kumquat_coordination::fleet::Membership keeps a VM whose registration is gone as a peer while its reports arrive, and for two seconds after the last one. VMs that were lost in the outage have been silent for longer and are dropped at once; a restarted one counts once, by its name. All divisors and the relays use this list.

--- a/crates/kumquat-coordination/src/fleet.rs
+++ b/crates/kumquat-coordination/src/fleet.rs
@@ -9,6 +9,7 @@
 mod budget;
 mod fingerprint;
 mod helpers;
+mod membership;
 mod ownership;
 mod path;
 mod quarantine;
@@ -26,6 +27,7 @@
 pub use budget::RetryBudget;
 pub use fingerprint::Fingerprint;
 pub use helpers::{Helper, HelperOffer, HelperTable};
+pub use membership::{Membership, Peer};
 pub use ownership::{
     Action, Clearance, Coordinator, Era, GrantId, Holder, KeyRange, Member, OrderFailure,
     OwnedRange, OwnershipMap, OwnershipTiming, max_hold_time,
--- a/crates/kumquat-router/src/vm.rs
+++ b/crates/kumquat-router/src/vm.rs
@@ -1,11 +1,11 @@
 //! The `vm` module provides the state of a router process, which all its tasks share on one thread.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use kumquat_coordination::fleet::Peer;
 use kumquat_coordination::fleet::{OwnershipMap, Quarantine, UpstreamInstance, WeightedRoundRobin};
 use kumquat_state::clock::{self, Instant};
 use rand::RngExt as _;
@@ -77,17 +77,6 @@
     pub incarnation: u64,
 }
 
-/// Another VM of the fleet, as the store lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Peer {
-    /// Name of the VM; the order of names fixes each VM's rank in the upstream table.
-    pub name: String,
-    /// Data centre of the VM; a peer there may forward reports to it.
-    pub data_centre: String,
-    /// UDP address on which it receives reports.
-    pub address: SocketAddr,
-}
-
 /// State and shared resources of the router process on a VM.
 ///
 /// All tasks run on one thread, so a borrow of its cells must not be held across an `await`.
@@ -296,15 +285,35 @@
         self.dispatch_queued();
     }
 
-    /// Sets the other VMs, by whose number rates, retry budgets and upstream capacity are divided.
-    pub fn set_peers(&self, peers: Vec<Peer>) {
+    /// Sets the other VMs that are registered in the store.
+    ///
+    /// A VM whose registration is gone stays a peer while it reports, because it still uses its share of the limits.
+    pub fn set_registered_peers(&self, registered: Vec<Peer>) {
+        let now = clock::now();
         let mut state = self.state.borrow_mut();
-        if *state.peers == *peers {
+        state.membership.set_registered(now, registered);
+        drop(state);
+        self.update_peers(now);
+    }
+
+    /// Removes the peers that are neither registered nor heard; called regularly.
+    pub fn remove_silent_peers(&self) {
+        let now = clock::now();
+        self.state.borrow_mut().membership.remove_silent(now);
+        self.update_peers(now);
+    }
+
+    /// Adopts the members as the peers, by whose number rates, retry budgets and upstream capacity are divided.
+    fn update_peers(&self, now: Instant) {
+        let mut guard = self.state.borrow_mut();
+        let state = &mut *guard;
+        if state.membership.peers().eq(state.peers.iter()) {
             return;
         }
+        let peers: Rc<[Peer]> = state.membership.peers().cloned().collect();
         let names: Vec<&str> = peers.iter().map(|peer| peer.name.as_str()).collect();
-        info!(self.log, "peers changed"; "peers" => names.join(","));
-        let now = clock::now();
+        let unregistered: Vec<&str> = state.membership.unregistered().collect();
+        info!(self.log, "peers changed"; "peers" => names.join(","), "unregistered" => unregistered.join(","));
         let vms = peers.len() + 1;
         state.rate_limiter.set_vm_count(now, vms);
         if state.peers.is_empty() {
@@ -315,7 +324,7 @@
         for (_, budget) in &mut state.retry_budgets {
             budget.set_slack(self.bounds.retry_slack, vms);
         }
-        state.peers = peers.into();
+        state.peers = peers;
     }
 
     /// Returns the other VMs; the allocation changes whenever the list does.
--- a/crates/kumquat-router/src/vm/reports.rs
+++ b/crates/kumquat-router/src/vm/reports.rs
@@ -30,6 +30,7 @@
     ) {
         let now = clock::now();
         let mut state = self.state.borrow_mut();
+        state.membership.record_report(now, peer);
         state.table.record_peer_report(now, peer, in_flight);
         let mut limit_changes = Vec::new();
         if let Some(usage) = usage {
--- a/crates/kumquat-router/src/vm/state.rs
+++ b/crates/kumquat-router/src/vm/state.rs
@@ -7,15 +7,15 @@
 use std::time::Duration;
 
 use kumquat_coordination::fleet::{
-    HelperTable, OwnershipMap, PathMonitor, Quarantine, RateLimiter, RetryBudget, Selection,
-    UpstreamInstance, UpstreamTable, WaitQueue, WeightedRoundRobin,
+    HelperTable, Membership, OwnershipMap, PathMonitor, Peer, Quarantine, RateLimiter, RetryBudget,
+    Selection, UpstreamInstance, UpstreamTable, WaitQueue, WeightedRoundRobin,
 };
 use kumquat_state::clock::Instant;
 use rand::RngExt as _;
 use tokio::sync::oneshot;
 
 use super::place::{SlotError, SlotPermit, Target};
-use super::{DeploymentBounds, Peer, short_id};
+use super::{DeploymentBounds, short_id};
 use crate::config::Config;
 use crate::sorted;
 
@@ -43,6 +43,8 @@
     // Longest recent latencies in seconds, by route.
     pub(super) peak_latencies_s: Vec<(String, f64)>,
     pub(super) ownership_maps: Vec<(Arc<str>, OwnershipMap)>,
+    pub(super) membership: Membership,
+    // The members; the allocation changes whenever the list does.
     pub(super) peers: Rc<[Peer]>,
     pub(super) coordinator: Option<String>,
     pub(super) queue: WaitQueue,
--- a/crates/kumquat-router/tests/peers.rs
+++ b/crates/kumquat-router/tests/peers.rs
@@ -27,6 +27,7 @@
 fn peer(name: &str, data_centre: &str, socket: &UdpSocket) -> Peer {
     Peer {
         name: name.to_owned(),
+        incarnation: 1,
         data_centre: data_centre.to_owned(),
         address: socket.local_addr().expect("an address"),
     }
@@ -64,7 +65,7 @@
     run_local_test(async {
         let router = start_unconfigured_router();
         let (near, far) = (bind_socket().await, bind_socket().await);
-        router.vm.set_peers(vec![
+        router.vm.set_registered_peers(vec![
             peer("vm-far", "elsewhere", &far),
             peer("vm-near", &router.vm.identity.data_centre, &near),
         ]);
@@ -101,7 +102,7 @@
             .map(|number| peer(&format!("vm-{number:03}"), "elsewhere", &joining))
             .collect();
         peers.push(peer("vm-x", &router.vm.identity.data_centre, &joining));
-        router.vm.set_peers(peers);
+        router.vm.set_registered_peers(peers);
         let (exchange, address) = bind_exchange(&router).await;
         spawn_local(Rc::clone(&exchange).run_receiver());
         spawn_local(exchange.run_sender());
