Measure the memory of thirty endless answers at once

Another operator reported a VM that kept all bytes of an answer without end and ran out of memory. Whether that can happen here: heads, bodies of other requests, interim answers, chunk sizes and trailers have limits, and bodies are passed on in pieces of 16 KB. memory.rs has shown it for one answer at a time; the new test has thirty at once, in seven forms, with callers that read all and callers that read nothing.

The bound is 8 MB, a twentieth of the smallest VM.

--- a/crates/kumquat-router/tests/memory.rs
+++ b/crates/kumquat-router/tests/memory.rs
@@ -3,12 +3,14 @@
 //! They read the memory of the whole process, so that they have a test binary of their own and run one at a time.
 
 mod fixture {
+    pub mod endless;
     pub mod router;
 }
 
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use fixture::endless::{bind_endless_upstream, read_endless_answer, start_router_with};
 use fixture::router::{
     CHUNKED_HEAD, KEYED, ScriptedUpstream, UNTIL_CLOSE_HEAD, UpstreamAction, closing_request,
     registration, request, run_local_test, send_request, single_owner_map, sleep_ms, start_request,
@@ -144,3 +146,69 @@
         });
     }
 }
+
+/// Guards against memory that grows with the number of endless answers at once, also where their callers read slowly.
+#[test]
+fn thirty_endless_answers_at_once_take_little_memory() {
+    const ANSWERS: usize = 30;
+    // The smallest VMs may use 160 MB in all, of which this is a twentieth.
+    const MAX_GROWTH_KB: usize = 8_000;
+    let _serial = SERIAL.lock().unwrap_or_else(PoisonError::into_inner);
+    let cases = [
+        ("a head", "HTTP/1.1 200 OK\r\n", "X-More: 1\r\n"),
+        (
+            "a head line",
+            "HTTP/1.1 200 OK\r\nX-Long: ",
+            "xxxxxxxxxxxxxxxx",
+        ),
+        ("no response at all", "", "xxxxxxxxxxxxxxxx"),
+        ("interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+        ("chunks of one byte", CHUNKED_HEAD, "1\r\nx\r\n"),
+        ("a chunk extension", CHUNKED_HEAD, "1;x=xxxxxxxxxxxx"),
+        (
+            "a body without a length",
+            UNTIL_CLOSE_HEAD,
+            "xxxxxxxxxxxxxxxx",
+        ),
+    ];
+    for (form, head, piece) in cases {
+        for reads in [true, false] {
+            run_local_test(async {
+                let sound = ScriptedUpstream::bind(&[UpstreamAction::Answer("fine")]).await;
+                let router = start_router_with(bind_endless_upstream(head, piece), &sound);
+                let before_kb = resident_kb();
+                let mut readers = Vec::new();
+                let mut silent_callers = Vec::new();
+                for number in 0..ANSWERS {
+                    let text =
+                        closing_request("GET", "/keyed/a").replace("t1", &format!("e{number}"));
+                    if reads {
+                        readers.push(read_endless_answer(router.address, text));
+                    } else {
+                        silent_callers.push(start_request(&router, &text).await);
+                    }
+                }
+
+                let mut grown_kb = 0;
+                let mut served = 0;
+                for number in 0..20 {
+                    sleep_ms(20).await;
+                    let text = request("POST", "/once/a", &format!("s{number}"));
+                    let answer = send_request(router.address, &text).await;
+                    served += usize::from(status(&answer) == 200);
+                    grown_kb = grown_kb.max(resident_kb().saturating_sub(before_kb));
+                }
+                while readers.iter().any(|reader| !reader.is_finished()) {
+                    sleep_ms(10).await;
+                }
+
+                println!("{form}, read {reads}: {grown_kb} KB more, {served} of 20 served");
+                assert_eq!(served, 20, "{form}, read {reads}");
+                assert!(
+                    grown_kb < MAX_GROWTH_KB,
+                    "{form}, read {reads}: {grown_kb} KB more"
+                );
+            });
+        }
+    }
+}
