Move keys without waiting for every handover, and account grants by range

One key that no upstream can carry ended each step of balancing.

Moves now have a limit of concurrent ones, grants are kept by range, an owner that responds to requests is not lost, a grant to a new owner is short until it is accepted, suspect upstreams back off, and the coordinator reports a completed handover at once. Large fleets prefer idle local upstreams.

Tests of the coordination crate: fleet_ownership, fleet_grant_orders, fleet_eras and fleet_table passed.

--- a/crates/kumquat-coordination/src/fleet/ownership.rs
+++ b/crates/kumquat-coordination/src/fleet/ownership.rs
@@ -37,8 +37,14 @@
 const MAX_CONSECUTIVE_GRANT_FAILURES: u32 = 4;
 
 /// Time for which an upstream that was treated as lost or has seen a higher fencing token is assigned no keys.
+///
+/// It doubles each time in a row, up to [`MAX_SUSPECT_DURATION`]: keys that go to an upstream that does not answer have no
+/// owner until its grants have expired.
 const SUSPECT_DURATION: Duration = Duration::from_secs(3);
 
+/// Longest time for which a suspect upstream is assigned no keys.
+const MAX_SUSPECT_DURATION: Duration = Duration::from_secs(12);
+
 /// An inclusive range of a service's keys, which are numbered from 0 to 65 535.
 pub type KeyRange = RangeInclusive<u16>;
 
@@ -228,6 +234,8 @@
     sent_at: Option<Instant>,
     duration: Duration,
     consecutive_failures: u32,
+    // Those of them that got no answer.
+    consecutive_unanswered: u32,
 }
 
 /// Progress of the release of a range by one previous owner.
@@ -371,20 +379,33 @@
         self.push_orders(now, actions);
     }
 
-    /// Reports that a holder accepted a grant.
-    pub fn on_granted(&mut self, now: Instant, holder: &Holder, id: GrantId) {
+    /// Reports that a holder accepted a grant; returns whether it is the first one of its range.
+    pub fn on_granted(&mut self, _now: Instant, holder: &Holder, id: GrantId) -> bool {
+        let mut is_first = false;
         if let Some(grant) = self
             .grants
             .iter_mut()
             .find(|grant| grant.fencing_token == id.fencing_token)
         {
+            is_first = grant.renewed_at.is_none();
             grant.renewed_at = grant.renewed_at.max(Some(id.sent_at));
             grant.sent_at = None;
             grant.consecutive_failures = 0;
+            grant.consecutive_unanswered = 0;
+        }
+        self.holder_state(holder).record_accepted(id);
+        is_first
+    }
+
+    /// Reports that a VM got a response to a request from a holder at `at`.
+    ///
+    /// An overloaded upstream may leave grants unanswered while it serves requests. Treating it as lost would move its load
+    /// to others, and its keys would have no owner until its grants have expired.
+    pub fn record_response(&mut self, at: Instant, holder: &Holder) {
+        let compare = |state: &HolderState| state.holder.cmp(holder);
+        if let Ok(position) = self.holders.binary_search_by(compare) {
+            self.holders[position].record_response(at);
         }
-        let state = self.holder_state(now, holder);
-        state.suspect_until = Instant::ORIGIN;
-        state.latest_expiry = state.latest_expiry.max(state.remove_in_flight_grant(id));
     }
 
     /// Reports that a grant failed; after several failures in a row the holder is assigned no keys for a time.
@@ -403,23 +424,25 @@
         let shows_loss = !matches!(failure, OrderFailure::BackedOff | OrderFailure::Superseded);
         if let (Some(grant), true) = (grant, shows_loss) {
             grant.consecutive_failures += 1;
+            grant.consecutive_unanswered += u32::from(failure == OrderFailure::NoResponse);
             is_lost = grant.consecutive_failures >= MAX_CONSECUTIVE_GRANT_FAILURES;
         }
-        self.record_failure(now, holder, failure);
-        let state = self.holder_state(now, holder);
-        let expiry = state.remove_in_flight_grant(id);
+        self.record_failure(holder, failure);
+        let state = self.holder_state(holder);
         if failure == OrderFailure::NoResponse {
-            state.latest_expiry = state.latest_expiry.max(expiry);
-            state.unanswered_expiry = state.latest_expiry;
+            state.record_unanswered(id);
+        } else {
+            state.record_ineffective(id);
         }
+        let is_lost = is_lost && !state.is_responding(now);
         if is_lost || failure == OrderFailure::StaleFencingToken {
-            state.suspect_until = now + SUSPECT_DURATION;
+            state.suspect(now);
         }
     }
 
-    fn record_failure(&mut self, now: Instant, holder: &Holder, failure: OrderFailure) {
+    fn record_failure(&mut self, holder: &Holder, failure: OrderFailure) {
         if failure == OrderFailure::Dead {
-            self.holder_state(now, holder).is_dead = true;
+            self.holder_state(holder).is_dead = true;
         }
     }
 
@@ -456,8 +479,8 @@
     }
 
     /// Reports that a release failed; it is sent again unless the holder is dead or its grants have expired.
-    pub fn on_release_failed(&mut self, now: Instant, holder: &Holder, failure: OrderFailure) {
-        self.record_failure(now, holder, failure);
+    pub fn on_release_failed(&mut self, _now: Instant, holder: &Holder, failure: OrderFailure) {
+        self.record_failure(holder, failure);
     }
 }
 
--- a/crates/kumquat-coordination/src/fleet/ownership/orders.rs
+++ b/crates/kumquat-coordination/src/fleet/ownership/orders.rs
@@ -6,30 +6,41 @@
 
 use super::holder::HolderState;
 use super::{
-    Action, Clearance, Coordinator, Grant, GrantId, Holder, OwnedRange, Recall, max_hold_time,
+    Action, Clearance, Coordinator, Grant, GrantId, Holder, KeyRange, OwnedRange, Recall,
+    max_hold_time,
 };
 
-/// Interval at which a grant that got no answer is sent again.
+/// Interval at which a failed grant is sent again; it doubles with each one in a row that got no answer, because an
+/// overloaded upstream may be busy with the last ones.
 const GRANT_RETRY_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Most unanswered grants in a row that double the interval, which leaves two tries within the shortest grant.
+const MAX_RETRY_DOUBLINGS: u32 = 2;
+
+/// Duration of grants to a new owner and to one that left the last grant unanswered; a longer one follows an accepted one.
+///
+/// An owner that does not answer may hold the keys for this time all the same, so that a short one lets them go to another
+/// upstream sooner.
+const UNCONFIRMED_GRANT_DURATION: Duration = Duration::from_millis(1_200);
+
 /// Interval at which a release is sent again; an upstream answers only when its requests for the keys have ended.
 const RELEASE_RETRY_INTERVAL: Duration = Duration::from_millis(600);
 
 impl Coordinator {
-    /// Returns the evidence that a holder can't hold keys any more, whichever of its orders arrived.
+    /// Returns the evidence that a holder can't hold these keys any more, whichever of its orders arrived.
     ///
     /// A later incarnation under the same name is no evidence: until it registers, it accepts grants that are meant for
     /// the earlier one, because orders name the upstream only.
-    fn clearance(&mut self, now: Instant, holder: &Holder) -> Option<Clearance> {
-        let state = self.holder_state(now, holder);
+    fn clearance(&mut self, now: Instant, holder: &Holder, keys: &KeyRange) -> Option<Clearance> {
+        let state = self.holder_state(holder);
         if state.is_dead {
             Some(Clearance::Dead)
         } else {
-            state.has_expired(now).then_some(Clearance::Expired)
+            state.has_expired(now, keys).then_some(Clearance::Expired)
         }
     }
 
-    pub(super) fn holder_state(&mut self, _now: Instant, holder: &Holder) -> &mut HolderState {
+    pub(super) fn holder_state(&mut self, holder: &Holder) -> &mut HolderState {
         let position = match self
             .holders
             .binary_search_by(|state| state.holder.cmp(holder))
@@ -37,15 +48,9 @@
             Ok(position) => position,
             Err(position) => {
                 // A predecessor may have sent grants until this coordinator started.
-                let latest_expiry = self.started_at + max_hold_time(self.timing.max_grant_duration);
-                let state = HolderState {
-                    holder: holder.clone(),
-                    latest_expiry,
-                    unanswered_expiry: Instant::ORIGIN,
-                    suspect_until: Instant::ORIGIN,
-                    in_flight_grants: Vec::new(),
-                    is_dead: false,
-                };
+                let predecessor_expiry =
+                    self.started_at + max_hold_time(self.timing.max_grant_duration);
+                let state = HolderState::new(holder.clone(), predecessor_expiry);
                 self.holders.insert(position, state);
                 position
             }
@@ -112,20 +117,21 @@
                 evidence.push((holder.clone(), Clearance::OwnerAgain));
                 continue;
             }
-            if let Some(clearance) = self.clearance(now, holder) {
+            let keys = range.keys();
+            if let Some(clearance) = self.clearance(now, holder, &keys) {
                 evidence.push((holder.clone(), clearance));
                 continue;
             }
-            let state = self.holder_state(now, holder);
-            let (unanswered_expiry, has_in_flight_grant) =
-                (state.unanswered_expiry, !state.in_flight_grants.is_empty());
+            let state = self.holder_state(holder);
+            let (has_unanswered_grant, has_in_flight_grant) =
+                (state.has_unanswered(now, &keys), state.has_in_flight(&keys));
             let found = self.recalls.iter().position(|recall| {
                 recall.fencing_token == range.fencing_token && recall.holder == *holder
             });
             let position = found.unwrap_or_else(|| {
                 self.recalls.push(Recall {
                     holder: holder.clone(),
-                    keys: range.keys(),
+                    keys,
                     fencing_token: range.fencing_token,
                     sent_at: None,
                     is_released: false,
@@ -136,7 +142,7 @@
             let recall = &mut self.recalls[position];
             if recall.is_released {
                 // An unanswered grant may still take effect after the release, until it expires.
-                is_released_by_all &= unanswered_expiry < now;
+                is_released_by_all &= !has_unanswered_grant;
                 evidence.push((holder.clone(), Clearance::Released));
                 continue;
             }
@@ -158,7 +164,7 @@
     }
 
     fn push_grant(&mut self, now: Instant, range: &OwnedRange, actions: &mut Vec<Action>) {
-        let duration = if self.is_store_unreachable {
+        let full_duration = if self.is_store_unreachable {
             self.timing.max_grant_duration
         } else {
             self.timing.grant_duration
@@ -172,15 +178,25 @@
                 fencing_token: range.fencing_token,
                 renewed_at: None,
                 sent_at: None,
-                duration,
+                duration: Duration::ZERO,
                 consecutive_failures: 0,
+                consecutive_unanswered: 0,
             });
             self.grants.len() - 1
         });
         let grant = &mut self.grants[position];
+        let is_confirmed = grant.renewed_at.is_some() && grant.consecutive_failures == 0;
+        let is_new_owner = grant.renewed_at.is_none() && !range.previous_owners.is_empty();
+        let duration = if is_new_owner || (!is_confirmed && grant.sent_at.is_some()) {
+            full_duration.min(UNCONFIRMED_GRANT_DURATION)
+        } else {
+            full_duration
+        };
+        let retry_interval =
+            GRANT_RETRY_INTERVAL * 2_u32.pow(grant.consecutive_unanswered.min(MAX_RETRY_DOUBLINGS));
         let may_send = grant
             .sent_at
-            .is_none_or(|sent_at| now.saturating_since(sent_at) >= GRANT_RETRY_INTERVAL);
+            .is_none_or(|sent_at| now.saturating_since(sent_at) >= retry_interval);
         let is_due = grant.renewed_at.is_none_or(|renewed_at| {
             let is_too_short = duration > grant.duration;
             is_too_short || now.saturating_since(renewed_at) >= self.timing.renewal_interval
@@ -201,10 +217,9 @@
             fencing_token: range.fencing_token,
             sent_at: now,
         };
-        let owner = self.holder_state(now, &range.owner);
-        owner
-            .in_flight_grants
-            .push((id, now + max_hold_time(duration)));
+        let expiry = now + max_hold_time(duration);
+        self.holder_state(&range.owner)
+            .record_sent(now, &range.keys(), id, expiry);
         actions.push(Action::Grant {
             holder: range.owner.clone(),
             keys: range.keys(),
--- a/crates/kumquat-coordination/src/fleet/ownership/plan.rs
+++ b/crates/kumquat-coordination/src/fleet/ownership/plan.rs
@@ -18,11 +18,15 @@
 /// Delay before the map is written only to drop previous owners; the coordinator's reports tell the VMs sooner.
 const CLEANUP_DELAY: Duration = Duration::from_secs(2);
 
-/// Moves in one change of the map in a small fleet; the keys of each move have no owner for a short time.
-const SMALL_FLEET_MOVES_PER_CHANGE: usize = 6;
+/// Ranges that may change their owner at the same time for balance in a small fleet; the keys of each move have no owner
+/// for a short time.
+const SMALL_FLEET_CONCURRENT_MOVES: usize = 6;
 
-/// Upstreams per move in one change of the map in a large fleet.
-const UPSTREAMS_PER_MOVE: usize = 10;
+/// Upstreams per concurrent move in a large fleet.
+///
+/// After the return of a data centre, a third of the upstreams has no keys. With three upstreams per move and a second per
+/// handover, all of them have keys again after some two seconds.
+const UPSTREAMS_PER_CONCURRENT_MOVE: usize = 3;
 
 /// Time for which the number of upstreams has to stay the same before the keys are assigned for the first time.
 ///
@@ -49,15 +53,15 @@
                 self.assign_all_keys(&mut map);
             }
         } else {
-            let is_handover_complete = map
-                .ranges
-                .iter()
-                .all(|range| range.previous_owners.is_empty());
             self.reassign(now, &mut map);
             let is_due = now.saturating_since(self.rebalanced_at) >= self.timing.rebalance_interval;
-            if is_handover_complete && is_due {
+            // An owner that does not answer can hold up a handover for seconds, and must not hold up the others.
+            let max_moves = self
+                .max_concurrent_moves()
+                .saturating_sub(moving_count(&map));
+            if is_due && max_moves > 0 {
                 self.rebalanced_at = now;
-                self.rebalance(now, &mut map);
+                self.rebalance(now, &mut map, max_moves);
                 self.merge_adjacent_ranges(&mut map);
             }
         }
@@ -92,7 +96,7 @@
             .binary_search_by(|state| state.holder.cmp(holder))
             .is_ok_and(|position| {
                 let state = &self.holders[position];
-                state.is_dead || state.suspect_until > now
+                state.is_dead || state.is_suspect(now)
             });
         let member = self
             .members
@@ -192,8 +196,14 @@
         *index += 1;
     }
 
-    /// Moves keys from the most loaded to the least loaded upstreams; new upstreams without keys are among the latter.
-    fn rebalance(&self, now: Instant, map: &mut OwnershipMap) {
+    /// Returns the number of ranges that may be moving at the same time for balance.
+    fn max_concurrent_moves(&self) -> usize {
+        SMALL_FLEET_CONCURRENT_MOVES.max(self.members.len() / UPSTREAMS_PER_CONCURRENT_MOVE)
+    }
+
+    /// Makes up to `max_moves` moves from the most loaded to the least loaded upstreams; new upstreams without keys are among
+    /// the latter.
+    fn rebalance(&self, now: Instant, map: &mut OwnershipMap, max_moves: usize) {
         let mut loads = self.owner_loads(now, map);
         let total: f64 = loads.iter().map(|owner| owner.load).sum();
         let capacity: f64 = loads.iter().map(|owner| owner.capacity).sum();
@@ -202,9 +212,14 @@
         }
         let mean = total / capacity;
         let key_count = f64::from(u16::MAX) + 1.0;
-        for _ in 0..SMALL_FLEET_MOVES_PER_CHANGE.max(loads.len() / UPSTREAMS_PER_MOVE) {
+        // Owners whose load can't be split further, such as one whose only busy key exceeds its capacity.
+        let mut unsplittable: Vec<Holder> = Vec::new();
+        let mut moves = 0;
+        while moves < max_moves {
             loads.sort_by(|a, b| a.utilization().total_cmp(&b.utilization()));
-            let (Some(least_loaded), Some(most_loaded)) = (loads.first(), loads.last()) else {
+            let mut by_load = loads.iter().rev();
+            let most_loaded = by_load.find(|owner| !unsplittable.contains(&owner.holder));
+            let (Some(least_loaded), Some(most_loaded)) = (loads.first(), most_loaded) else {
                 return;
             };
             // The excess of one and the deficit of the other, both from the mean, bound the load to move.
@@ -227,8 +242,10 @@
             };
             let (from, to) = (most_loaded.holder.clone(), least_loaded.holder.clone());
             let Some(moved) = self.move_load(map, &from, &to, target) else {
-                return;
+                unsplittable.push(from);
+                continue;
             };
+            moves += 1;
             for owner in &mut loads {
                 if owner.holder == from {
                     owner.load -= moved;
@@ -444,6 +461,14 @@
     }
 }
 
+/// Returns the number of ranges whose previous owners may still hold keys.
+fn moving_count(map: &OwnershipMap) -> usize {
+    let ranges = map.ranges.iter();
+    ranges
+        .filter(|range| !range.previous_owners.is_empty())
+        .count()
+}
+
 /// Returns the mean load that a constant rate of requests per second causes.
 fn load_of_rate(rate_per_s: f64) -> f64 {
     let remaining = f64::from(LOAD_DECAY_FACTOR);
--- a/crates/kumquat-coordination/src/fleet/ownership/timing.rs
+++ b/crates/kumquat-coordination/src/fleet/ownership/timing.rs
@@ -17,6 +17,14 @@
 /// Interval at which the balance of load between the owners is checked.
 const REBALANCE_INTERVAL: Duration = Duration::from_millis(300);
 
+/// The same for services with at least [`LARGE_SERVICE_MIN_UPSTREAMS`] upstreams.
+///
+/// Each change of the map is a write to the store and a read for each VM that watches it; more moves go into one change.
+const LARGE_SERVICE_REBALANCE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Smallest number of upstreams whose moves are gathered for longer.
+const LARGE_SERVICE_MIN_UPSTREAMS: usize = 60;
+
 /// Durations and intervals of the coordinator of one service.
 #[derive(Clone, Copy, Debug)]
 pub struct OwnershipTiming {
@@ -48,7 +56,11 @@
             grant_duration: grant_duration.min(max_grant_duration),
             max_grant_duration,
             renewal_interval,
-            rebalance_interval: REBALANCE_INTERVAL,
+            rebalance_interval: if upstreams < LARGE_SERVICE_MIN_UPSTREAMS {
+                REBALANCE_INTERVAL
+            } else {
+                LARGE_SERVICE_REBALANCE_INTERVAL
+            },
         }
     }
 }
--- a/crates/kumquat-coordination/src/fleet/table.rs
+++ b/crates/kumquat-coordination/src/fleet/table.rs
@@ -33,6 +33,11 @@
 /// Relative extra cost of an upstream in another data centre, as traffic between data centres is paid for.
 const REMOTE_COST_FRACTION: f64 = 0.1;
 
+/// Extra cost, relative to the best upstream, up to which a large fleet prefers a local upstream with a free slot.
+///
+/// An idle local upstream serves the caller as soon as a remote one does, unless it is much slower or fails.
+const LOCAL_PREFERENCE_FRACTION: f64 = 0.5;
+
 /// Largest random increase of a cost relative to it, so that VMs with the same reports do not all select the same
 /// upstream.
 const COST_NOISE_FRACTION: f64 = 0.1;
@@ -139,6 +144,7 @@
     removed_draining: VecDeque<u32>,
     local_data_centre: Option<Arc<str>>,
     vms: u32,
+    local_vms: u32,
     vm_position: u32,
     announced_limits: AnnouncedLimits,
     request_limiter: RateLimiter,
@@ -161,6 +167,11 @@
         }
     }
 
+    /// Sets the number of VMs in the data centre of this VM, this one included.
+    pub fn set_local_vms(&mut self, vms: usize) {
+        self.local_vms = u32::try_from(vms.max(1)).unwrap_or(u32::MAX);
+    }
+
     /// Returns whether this VM is one of the [`MAX_WARMUP_VMS`] that may send to the upstream during its warm-up.
     fn may_send_in_warmup(&self, row: &Row) -> bool {
         let position =
@@ -306,6 +317,30 @@
         }
     }
 
+    /// Returns the short ids of the upstreams from which this VM got a response since the last call.
+    pub fn take_responded(&mut self) -> Vec<u32> {
+        let rows = self.rows.iter_mut();
+        let responded = rows
+            .filter_map(|row| std::mem::take(&mut row.has_unreported_response).then_some(row.id));
+        responded.collect()
+    }
+
+    /// Records that a peer has reported responses from the upstreams with these short ids.
+    pub fn record_responses(&mut self, now: Instant, ids: &[u32]) {
+        for id in ids {
+            if let Some(row) = self.rows.iter_mut().find(|row| row.id == *id) {
+                row.responded_at = now;
+            }
+        }
+    }
+
+    /// Returns when this VM or a peer last got a response from an upstream, or [`Instant::ORIGIN`] if none did.
+    #[must_use]
+    pub fn responded_at(&self, name: &str) -> Instant {
+        self.position(name)
+            .map_or(Instant::ORIGIN, |position| self.rows[position].responded_at)
+    }
+
     /// Returns the short id of an upstream's present incarnation, which reports between VMs carry instead of its name.
     #[must_use]
     pub fn upstream_id(&self, name: &str) -> Option<u32> {
@@ -414,8 +449,10 @@
         over_limit: &[usize],
         noise: impl Fn() -> f64,
     ) -> Scan {
-        let candidate_probability = self.candidate_probability(service);
+        let (local_probability, remote_probability) = self.candidate_probabilities(service);
+        let prefers_local = self.vms > FULL_SCAN_MAX_VMS;
         let mut best: Option<(f64, usize)> = None;
+        let mut best_local: Option<(f64, usize)> = None;
         let mut has_busy = false;
         // The first available upstream is always a candidate, so that the scan must not always start at the same one.
         let start = random_index(noise(), self.rows.len());
@@ -432,20 +469,37 @@
                 has_busy = true;
                 continue;
             }
-            if best.is_some() && noise() >= candidate_probability {
-                continue;
-            }
             let row = &self.rows[index];
             let is_local = self.local_data_centre.as_ref() == Some(&row.upstream.data_centre);
+            let probability = if is_local {
+                local_probability
+            } else {
+                remote_probability
+            };
+            let is_first = best.is_none() || (is_local && prefers_local && best_local.is_none());
+            if !is_first && noise() >= probability {
+                continue;
+            }
             let remote_cost = if is_local { 0.0 } else { REMOTE_COST_FRACTION };
             let cost =
                 row.cost(now, in_flight) * (1.0 + remote_cost + COST_NOISE_FRACTION * noise());
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, index));
             }
+            let is_free = in_flight < row.upstream.slots;
+            if prefers_local
+                && is_local
+                && is_free
+                && best_local.is_none_or(|(lowest, _)| cost < lowest)
+            {
+                best_local = Some((cost, index));
+            }
         }
+        let is_close = |local: &(f64, usize)| {
+            best.is_none_or(|(lowest, _)| local.0 <= lowest * (1.0 + LOCAL_PREFERENCE_FRACTION))
+        };
         Scan {
-            best: best.map(|(_, index)| index),
+            best: best_local.filter(is_close).or(best).map(|(_, index)| index),
             has_busy,
         }
     }
@@ -461,20 +515,28 @@
         !is_full && !is_paused && !is_warmup_limited
     }
 
-    /// Returns the probability with which an upstream of a service becomes a candidate for a request.
+    /// Returns the probabilities with which a local and a remote upstream of a service become candidates for a request.
     ///
     /// Reports are less frequent in larger fleets. If all VMs compared all upstreams by the same stale reports, they
-    /// would all select the same one.
-    fn candidate_probability(&self, service: &str) -> f64 {
+    /// would all select the same one. Local upstreams get most of their requests from the VMs of their data centre.
+    fn candidate_probabilities(&self, service: &str) -> (f64, f64) {
         let upstreams = self
             .rows
             .iter()
             .filter(|row| &*row.upstream.service == service);
         let count = u32::try_from(upstreams.count().max(1)).unwrap_or(u32::MAX);
-        let probability_by_vms = f64::from(FULL_SCAN_MAX_VMS) / f64::from(self.vms.max(1));
-        probability_by_vms
-            .max(MIN_MEAN_CANDIDATES / f64::from(count))
-            .min(1.0)
+        let probability = |vms: u32| {
+            let probability_by_vms = f64::from(FULL_SCAN_MAX_VMS) / f64::from(vms.max(1));
+            probability_by_vms
+                .max(MIN_MEAN_CANDIDATES / f64::from(count))
+                .min(1.0)
+        };
+        let local_vms = if self.local_vms == 0 {
+            self.vms
+        } else {
+            self.local_vms
+        };
+        (probability(local_vms), probability(self.vms))
     }
 
     /// Selects the owner of a request's key, the only upstream that may handle it, if it is available in this
--- a/crates/kumquat-coordination/src/fleet/table/row.rs
+++ b/crates/kumquat-coordination/src/fleet/table/row.rs
@@ -72,6 +72,9 @@
     pub(super) backoff_until: Instant,
     // Whether the upstream has announced its shutdown in a response, which can precede the registry's draining state.
     pub(super) is_drain_announced: bool,
+    // When this VM or a peer last got a response from the upstream, and whether this VM has yet to report its own.
+    pub(super) responded_at: Instant,
+    pub(super) has_unreported_response: bool,
     pub(super) warmup_until: Instant,
     // Requests per second from all VMs together during the warm-up.
     warmup_rate_per_s: f64,
@@ -101,6 +104,8 @@
             next_ejection: MIN_EJECTION,
             backoff_until: Instant::ORIGIN,
             is_drain_announced: false,
+            responded_at: Instant::ORIGIN,
+            has_unreported_response: false,
             warmup_until: Instant::ORIGIN,
             warmup_rate_per_s,
             warmup_bucket: warmup_bucket(now, warmup_rate_per_s, vms),
@@ -159,6 +164,13 @@
             | AttemptOutcome::MalformedResponse => 1.0,
             AttemptOutcome::CallerDisconnected => return,
         };
+        if matches!(
+            outcome,
+            AttemptOutcome::Completed { .. } | AttemptOutcome::Shed
+        ) {
+            self.responded_at = now;
+            self.has_unreported_response = true;
+        }
         let failure_rate = self.failure_rate * decay(now, self.failure_rate_updated);
         self.failure_rate = failure_rate + FAILURE_EWMA_WEIGHT * (failed - failure_rate);
         self.failure_rate_updated = now;
--- a/crates/kumquat-coordination/tests/fleet_grant_orders.rs
+++ b/crates/kumquat-coordination/tests/fleet_grant_orders.rs
@@ -139,7 +139,8 @@
     fn report(&mut self, send: &Send, fate: Fate) {
         let failure = match fate {
             Fate::Accepted => {
-                return self.coordinator.on_granted(self.now, &send.holder, send.id);
+                self.coordinator.on_granted(self.now, &send.holder, send.id);
+                return;
             }
             Fate::Refused => OrderFailure::ConnectionRefused,
             Fate::ResponseLost | Fate::Lost => OrderFailure::NoResponse,
--- a/crates/kumquat-coordination/tests/support/owners.rs
+++ b/crates/kumquat-coordination/tests/support/owners.rs
@@ -543,7 +543,9 @@
     result: Result<(), OrderFailure>,
 ) {
     match result {
-        Ok(()) => coordinator.on_granted(now, holder, id),
+        Ok(()) => {
+            coordinator.on_granted(now, holder, id);
+        }
         Err(failure) => coordinator.on_grant_failed(now, holder, id, failure),
     }
 }
--- a/crates/kumquat-router/src/coordination.rs
+++ b/crates/kumquat-router/src/coordination.rs
@@ -290,6 +290,10 @@
             });
             coordinator.set_timing(timing);
             coordinator.set_store_unreachable(self.is_store_unreachable.get());
+            for member in &members {
+                let responded_at = self.vm.responded_at(&member.holder.name);
+                coordinator.record_response(responded_at, &member.holder);
+            }
             coordinator.set_members(now, members);
             let mut actions = Vec::new();
             coordinator.tick(now, &mut actions);
@@ -366,7 +370,11 @@
                         .send_order("grant", &holder, &keys, fencing_token, call, GRANT_TIMEOUT)
                         .await;
                     this.with_coordinator(&service, |coordinator| match result {
-                        Ok(_) => coordinator.on_granted(clock::now(), &holder, id),
+                        Ok(_) => {
+                            if coordinator.on_granted(clock::now(), &holder, id) {
+                                this.vm.handover_completed.notify_one();
+                            }
+                        }
                         Err(error) => {
                             coordinator.on_grant_failed(clock::now(), &holder, id, error);
                         }
--- a/crates/kumquat-router/src/peers.rs
+++ b/crates/kumquat-router/src/peers.rs
@@ -31,6 +31,14 @@
 /// report. The delay lets one report cover several VMs that join at the same time.
 const JOIN_REPORT_DELAY: Duration = Duration::from_millis(40);
 
+/// Delay from the grant of keys to their new owner to the report of it, so that one report covers several of them.
+///
+/// Until then the other VMs hold requests for these keys back.
+const HANDOVER_REPORT_DELAY: Duration = Duration::from_millis(15);
+
+/// Maximum number of upstreams in one datagram from which the sender got responses.
+const MAX_REPORTED_RESPONSES: usize = 512;
+
 /// Maximum number of requested keys in one datagram, each of which may be of another service.
 const MAX_REPORTED_KEYS: usize = 256;
 
@@ -90,6 +98,9 @@
     /// Relative latencies in percent by the short id of the upstream; sent to the coordinator only.
     #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
     pub latencies_percent: Vec<(u32, u32)>,
+    /// Short ids of the upstreams from which the sender got responses since its last report; sent to the coordinator only.
+    #[serde(rename = "a", default, skip_serializing_if = "Vec::is_empty")]
+    pub responded: Vec<u32>,
     /// Requested keys by the short id of the service; sent to the coordinator only.
     #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
     pub requested_keys: Vec<(u32, Vec<u16>)>,
@@ -206,6 +217,7 @@
             .map(|(id, percent)| (*id, f64::from(*percent) / 100.0))
             .collect();
         self.vm.apply_relative_latencies(&latencies);
+        self.vm.record_responses(&report.responded);
         if report.sequence == 0 {
             return;
         }
@@ -298,6 +310,10 @@
             let vms = peers.len() + 1;
             let peer_joined = tokio::select! {
                 () = self.vm.peer_joined.notified() => true,
+                () = self.vm.handover_completed.notified() => {
+                    tokio::time::sleep(HANDOVER_REPORT_DELAY).await;
+                    false
+                }
                 () = tokio::time::sleep(reports::min_report_interval(vms)) => false,
             };
             if peer_joined {
@@ -362,6 +378,8 @@
             .map(|(service, key)| (short_id(&service), key))
             .collect();
         let latencies = self.vm.take_relative_latencies();
+        let mut responded = self.vm.take_responded();
+        responded.truncate(MAX_REPORTED_RESPONSES);
         self.vm.apply_relative_latencies(&latencies);
         let Some(coordinator) = self.vm.coordinator() else {
             return;
@@ -378,7 +396,11 @@
             return;
         };
         let sender = self.vm.identity.incarnation;
-        for report in Report::for_coordinator(sender, &requested_keys, &latencies) {
+        let mut reports = Report::for_coordinator(sender, &requested_keys, &latencies);
+        if let Some(report) = reports.first_mut() {
+            report.responded = responded;
+        }
+        for report in reports {
             self.send_to(&report.encode(), peer.address);
         }
     }
--- a/crates/kumquat-router/src/vm.rs
+++ b/crates/kumquat-router/src/vm.rs
@@ -100,6 +100,8 @@
     pub behind_peers: Notify,
     /// Notified at a new process's first report, and when the list of peers is no longer empty.
     pub peer_joined: Notify,
+    /// Notified when a range of keys has been granted to a new owner, which the peers have to learn of.
+    pub handover_completed: Notify,
     // Notified when several upstreams in a row could not be reached.
     path_suspected: Notify,
     /// When a graceful shutdown began, if one has.
@@ -133,6 +135,7 @@
             pool: RefCell::default(),
             behind_peers: Notify::new(),
             peer_joined: Notify::new(),
+            handover_completed: Notify::new(),
             path_suspected: Notify::new(),
             shutdown_started_at: watch::Sender::new(None),
             state: RefCell::new(state),
@@ -321,6 +324,11 @@
         }
         let lower_ranked = peers.iter().filter(|peer| peer.name < self.identity.name);
         state.table.set_vms(now, vms, lower_ranked.count());
+        let data_centre = &*self.identity.data_centre;
+        let local_peers = peers
+            .iter()
+            .filter(|peer| &*peer.data_centre == data_centre);
+        state.table.set_local_vms(local_peers.count() + 1);
         for (_, budget) in &mut state.retry_budgets {
             budget.set_slack(self.bounds.retry_slack, vms);
         }
--- a/crates/kumquat-router/src/vm/latency.rs
+++ b/crates/kumquat-router/src/vm/latency.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use kumquat_coordination::fleet::{UpstreamInstance, UpstreamLoad};
+use kumquat_state::clock::{self, Instant};
 
 use super::Vm;
 use crate::sorted;
@@ -86,6 +87,24 @@
         }
     }
 
+    /// Returns the short ids of the upstreams from which this VM got a response since the last call.
+    #[must_use]
+    pub fn take_responded(&self) -> Vec<u32> {
+        self.state.borrow_mut().table.take_responded()
+    }
+
+    /// Records that a peer has reported responses from the upstreams with these short ids.
+    pub fn record_responses(&self, ids: &[u32]) {
+        let now = clock::now();
+        self.state.borrow_mut().table.record_responses(now, ids);
+    }
+
+    /// Returns when this VM or a peer last got a response from an upstream, or [`Instant::ORIGIN`] if none did.
+    #[must_use]
+    pub fn responded_at(&self, name: &str) -> Instant {
+        self.state.borrow().table.responded_at(name)
+    }
+
     /// Returns the long-term latency of an upstream relative to the others.
     #[must_use]
     pub fn latency_factor(&self, name: &str) -> f64 {
--- a/crates/kumquat-router/src/vm/place.rs
+++ b/crates/kumquat-router/src/vm/place.rs
@@ -219,6 +219,11 @@
                         drop(waiter.permit_sender.send(Err(error)));
                     }
                     Selection::Busy if target.key.is_none() => full_services.push(service),
+                    // Dropping the waiter rejects the request at once, rather than when it is too late to send it.
+                    Selection::Busy if state.is_owner_lost(now, &target) => {
+                        state.waiters.swap_remove(position);
+                        state.queue.remove(id);
+                    }
                     Selection::Busy => {}
                     Selection::NoneEligible => {
                         state.waiters.swap_remove(position);
--- a/crates/kumquat-router/src/vm/state.rs
+++ b/crates/kumquat-router/src/vm/state.rs
@@ -180,6 +180,12 @@
         })
     }
 
+    /// Returns whether the key of a target has had no usable owner for longer than a planned handover takes.
+    pub(super) fn is_owner_lost(&self, now: Instant, target: &Target) -> bool {
+        let key = target.key;
+        key.is_some_and(|key| self.awaits_grant_expiry(now, target, key))
+    }
+
     fn is_handed_over(&self, target: &Target, token: u64) -> bool {
         let service = short_id(&target.service);
         self.handed_over_tokens.contains(&(service, token))
