Treat statuses outside 100 to 599 of upstreams as malformed

Seen on other systems: an upstream in trouble answered with the status 000, and the client got it as an answer. Here each status below 200 counted as interim and was passed over, so that an answer 000 without a body left the caller waiting for its deadline, a whole answer behind it was taken for the answer, and statuses from 600 to 999 reached the caller with their signature. They are malformed now, as is 101, which is never asked for: the caller of a non-idempotent request gets 502, an idempotent one is retried elsewhere, and the connection is closed. RFC 9110 lets a client treat such statuses as 5xx; a signature of the upstream must not come with another status.

--- a/crates/kumquat-router/src/http/connection.rs
+++ b/crates/kumquat-router/src/http/connection.rs
@@ -35,6 +35,15 @@
 /// Largest number of interim (1xx) responses before a final response; servers send one or two.
 const MAX_INTERIM_RESPONSES: u32 = 8;
 
+/// Lowest status of a final response (RFC 9110, section 15).
+const FIRST_FINAL_STATUS: u16 = 200;
+
+/// Highest valid status (RFC 9110, section 15).
+///
+/// A response with a higher one is malformed like one below 100: passed on with its signature, it would look like a failure
+/// that callers have no class for.
+const LAST_STATUS: u16 = 599;
+
 /// Idle time before the first TCP keep-alive probe, and interval between probes.
 ///
 /// A network path can fail without a reset. Probes at this interval detect that before the deadlines of requests pass.
@@ -320,9 +329,14 @@
         let mut interim_responses = 0;
         loop {
             while let Some(head) = self.parse_response_head(search_from)? {
-                if head.status >= 200 {
-                    self.has_had_response = true;
-                    return Ok(head);
+                match head.status {
+                    FIRST_FINAL_STATUS..=LAST_STATUS => {
+                        self.has_had_response = true;
+                        return Ok(head);
+                    }
+                    // Status 101 is never asked for, and what follows it would not be HTTP.
+                    100 | 102..FIRST_FINAL_STATUS => {}
+                    _ => return Err(Error::Malformed("answer status")),
                 }
                 search_from = 0;
                 interim_responses += 1;
