Let callers return at once when an upstream sheds although it has room

Waiting does not help there: the refusal now asks for the shortest delay if the upstream has a free slot by its load header or by the reports, and for the mean latency otherwise. Tests of the router (requests, admission, answers, orders, statuses) passed; the effect on callers is being measured.

--- a/crates/kumquat-router/src/gateway.rs
+++ b/crates/kumquat-router/src/gateway.rs
@@ -151,6 +151,8 @@
     misdirected_count: u32,
     /// Whether an upstream may have executed the request.
     may_have_executed: bool,
+    /// Whether the last upstream shed the request although it had a free slot.
+    was_shed_with_room: bool,
     /// Address of the VM to which the request was forwarded last.
     forwarded_to: Option<SocketAddr>,
     /// Total time in the queue.
@@ -428,14 +430,14 @@
                 || is_out_of_attempts
                 || self.flags.is_caller_gone.get()
             {
-                return Err(self.refusal(progress, reason, self.vm.mean_latency(self.route)));
+                return Err(self.refusal(progress, reason, self.retry_after_failure(progress)));
             }
             if progress.misdirected_count > 0 {
                 tokio::time::sleep(OWNER_LOOKUP_DELAY).await;
             }
             // A failed connect costs the upstreams nothing, so it takes nothing from the retry budget.
             if progress.sent_count > 0 && !self.vm.try_acquire_retry(&self.target.service) {
-                return Err(self.refusal(progress, reason, self.vm.mean_latency(self.route)));
+                return Err(self.refusal(progress, reason, self.retry_after_failure(progress)));
             }
             if let (true, Some(team)) = (progress.may_have_executed, self.team) {
                 self.vm.record_team_retry(team);
@@ -443,6 +445,16 @@
         }
     }
 
+    /// Returns the time after which a caller may try again whose request failed at the last upstream.
+    fn retry_after_failure(&self, progress: &RequestProgress) -> Duration {
+        // Such an upstream does not shed for want of room, so that waiting does not help.
+        if progress.was_shed_with_room {
+            MIN_RETRY_AFTER
+        } else {
+            self.vm.mean_latency(self.route)
+        }
+    }
+
     /// Reserves an upstream for the next attempt, waiting in the queue if that can help.
     async fn acquire_upstream(
         &self,
--- a/crates/kumquat-router/src/gateway/attempt.rs
+++ b/crates/kumquat-router/src/gateway/attempt.rs
@@ -31,6 +31,7 @@
         let upstream_name = Arc::clone(&placed.upstream.name);
         let address = placed.upstream.address;
         progress.tried_upstreams.push(Arc::clone(&upstream_name));
+        progress.was_shed_with_room = false;
         // The answer to an earlier attempt may be repeated on its connection, and has the same id.
         let pooled = if progress.sent_to.contains(&address) {
             None
@@ -279,6 +280,10 @@
         self.vm.apply_notices(&placed.upstream, &response.head);
         if response.head.status != MISDIRECTED_STATUS {
             self.count_attempt("shed");
+            progress.was_shed_with_room = load.map_or_else(
+                || self.vm.has_free_slot(&placed.upstream),
+                |load| load.waiting == 0 && load.running < load.slots,
+            );
             placed.complete(AttemptOutcome::Shed, load);
             return Action::Retry("the upstream shed the request");
         }
--- a/crates/kumquat-router/src/vm/latency.rs
+++ b/crates/kumquat-router/src/vm/latency.rs
@@ -105,6 +105,13 @@
         self.state.borrow().table.responded_at(name)
     }
 
+    /// Returns whether an upstream has a free slot by the reports, not counting one request of this VM.
+    #[must_use]
+    pub fn has_free_slot(&self, upstream: &UpstreamInstance) -> bool {
+        let state = self.state.borrow();
+        state.table.in_flight_at(clock::now(), &upstream.name) <= upstream.slots
+    }
+
     /// Returns the long-term latency of an upstream relative to the others.
     #[must_use]
     pub fn latency_factor(&self, name: &str) -> f64 {
