Decide which callers' connections a VM closes to stay within its memory

Request bodies, heads, pipelined input and unread answers have no bound over all connections of a VM. The new module fleet::intake counts the bytes that each connection holds against a budget and limits the number of connections; it evicts the oldest incomplete request first and the longest unread answer next, and never a request that is being served. An eighth of the budget is kept for small holdings, so that small requests are served beside large ones that run.

It does no I/O and nothing uses it yet.

--- a/crates/kumquat-coordination/src/fleet.rs
+++ b/crates/kumquat-coordination/src/fleet.rs
@@ -9,6 +9,7 @@
 mod budget;
 mod fingerprint;
 mod helpers;
+pub mod intake;
 mod membership;
 mod ownership;
 mod path;
