Bound the memory and the connections that a VM spends on its callers

Callers outside of anyone's control filled the memory of a VM with bodies that stop short, heads, pipelined input and answers that they do not read. Each caller's connection now has an account with fleet::intake for its read buffer, head, body and response; the oldest incomplete request gets 503 with Retry-After and is closed when the budget is exceeded, the longest unread answer is cut next. Bodies are held in segments of 16 KB and written to upstreams from there instead of from a copy for each attempt.

--- a/crates/kumquat-router/src/caller.rs
+++ b/crates/kumquat-router/src/caller.rs
@@ -107,17 +107,23 @@
 ) {
     match accepted {
         Ok((stream, _)) => {
+            // A connection that is dropped here has not been read, so that its caller may try again at once.
+            let Some(account) = vm.intake.open() else {
+                return;
+            };
             let (vm, open_connections) = (Rc::clone(vm), Rc::clone(open_connections));
             tokio::task::spawn_local(async move {
                 vm.metrics.caller_connections.inc();
                 if let Err(error) =
-                    connection::serve(&vm, HttpConnection::new(stream), origin).await
+                    connection::serve(&vm, HttpConnection::new(stream), origin, account).await
                 {
                     slog::debug!(vm.log, "caller's connection ended"; "error" => %error);
                 }
                 vm.metrics.caller_connections.dec();
                 drop(open_connections);
             });
+            // Connections that were evicted for this one close before the next one is accepted.
+            tokio::task::yield_now().await;
         }
         Err(error) => {
             warn!(vm.log, "connection not accepted"; "error" => %error);
--- a/crates/kumquat-router/src/caller/admin.rs
+++ b/crates/kumquat-router/src/caller/admin.rs
@@ -100,7 +100,7 @@
         }
         let request = timeout(
             limits.receive_timeout,
-            read_request(connection, &limits, None),
+            read_request(connection, &limits, None, None),
         )
         .await;
         let Ok(Ok((received, keeps_alive))) = request else {
--- a/crates/kumquat-router/src/caller/connection.rs
+++ b/crates/kumquat-router/src/caller/connection.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use kumquat_coordination::fleet::intake::Activity;
 use kumquat_state::clock::{self, Instant};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -16,7 +17,9 @@
 use crate::config::RequestLimits;
 use crate::errors::{Error, Result};
 use crate::gateway::{self, ReceivedRequest, RequestFlags, Response, ResponseBody};
-use crate::http::{HttpConnection, RequestHead};
+use crate::http::{Body, HttpConnection, RequestHead};
+use crate::intake::{Account, Hold};
+use crate::upstream::BUFFERED_BODY_BYTES;
 use crate::vm::Vm;
 
 /// Largest number of requests of one connection that are in flight at once.
@@ -29,16 +32,32 @@
 /// Such a response has at most 16 KB, so only a caller that hardly reads at all needs longer.
 const RESPONSE_WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Memory of a response that is relayed while it arrives: a part of it, and the buffer of the upstream's connection.
+const STREAM_BYTES: usize = 2 * BUFFERED_BODY_BYTES;
+
+/// `Retry-After` of a request that was rejected for lack of memory.
+///
+/// What stalled requests hold is released as soon as others need it, and requests that are being served end within about
+/// a second.
+const EXHAUSTED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Serves the requests of a connection until it is closed.
 ///
 /// # Errors
 ///
 /// Returns an error if the connection fails or is aborted.
-pub(super) async fn serve(vm: &Rc<Vm>, http: HttpConnection, origin: Origin) -> Result<()> {
+pub(super) async fn serve(
+    vm: &Rc<Vm>,
+    mut http: HttpConnection,
+    origin: Origin,
+    account: Rc<Account>,
+) -> Result<()> {
+    http.set_hold(Hold::new(Rc::clone(&account)));
     let mut connection = CallerConnection {
         vm,
         http,
         origin,
+        account,
         in_flight: VecDeque::new(),
         last_read_at: clock::now(),
         may_start_next: true,
@@ -55,13 +74,14 @@
     is_http_1_0: bool,
     keeps_alive: bool,
     flags: Rc<RequestFlags>,
-    task: JoinHandle<Response>,
+    // The response and the memory that it takes.
+    task: JoinHandle<(Response, Hold)>,
 }
 
 /// What occurred first while requests are being served.
 enum Event {
     /// The oldest request in flight has a response.
-    Responded(Response),
+    Responded(Response, Hold),
     /// More input arrived from the caller.
     InputReceived,
     /// The caller closed or reset the connection.
@@ -75,6 +95,7 @@
     vm: &'a Rc<Vm>,
     http: HttpConnection,
     origin: Origin,
+    account: Rc<Account>,
     // In the order of arrival.
     in_flight: VecDeque<InFlightRequest>,
     // When input was last read; the arrival time of a pipelined request that this input completes.
@@ -92,12 +113,14 @@
                 let Some((received, keeps_alive)) = self.next_request(&limits).await? else {
                     return Ok(());
                 };
-                self.start(received, keeps_alive);
+                self.account.set_activity(Activity::Serving);
+                let hold = Hold::new(Rc::clone(&self.account));
+                self.start(received, keeps_alive, hold);
                 self.may_start_next = true;
                 self.start_pipelined(&limits);
             }
             match self.next_event().await {
-                Event::Responded(response) => {
+                Event::Responded(response, _hold) => {
                     if !self.write_response(response, &limits).await? {
                         return Ok(());
                     }
@@ -116,16 +139,24 @@
         limits: &RequestLimits,
     ) -> Result<Option<(ReceivedRequest, bool)>> {
         let received_at = self.http.has_unread().then_some(self.last_read_at);
-        if !wait_for_request(self.vm, &mut self.http, limits).await? {
-            return Ok(None);
+        self.account.set_activity(Activity::Idle);
+        tokio::select! {
+            biased;
+            () = self.account.evicted() => return Ok(None),
+            has_input = wait_for_request(self.vm, &mut self.http, limits) => if !has_input? {
+                return Ok(None);
+            },
         }
+        self.account.set_activity(Activity::Receiving);
         let http = &mut self.http;
-        match timeout(
-            limits.receive_timeout,
-            read_request(http, limits, received_at),
-        )
-        .await
-        {
+        let hold = Hold::new(Rc::clone(&self.account));
+        let request = read_request(http, limits, received_at, Some(hold));
+        let received = tokio::select! {
+            biased;
+            () = self.account.evicted() => Ok(Err(Error::Exhausted)),
+            received = timeout(limits.receive_timeout, request) => received,
+        };
+        match received {
             Ok(Ok(request)) => {
                 // Remaining bytes in the buffer arrived with the end of this request.
                 self.last_read_at = clock::now();
@@ -139,8 +170,8 @@
         }
     }
 
-    /// Starts a task that serves a request.
-    fn start(&mut self, received: ReceivedRequest, keeps_alive: bool) {
+    /// Starts a task that serves a request, whose response is counted by `hold`.
+    fn start(&mut self, received: ReceivedRequest, keeps_alive: bool, mut hold: Hold) {
         let is_forwarded = self.origin == Origin::Peer;
         if is_forwarded {
             self.vm.metrics.helped_requests.inc();
@@ -151,10 +182,15 @@
         });
         let (is_head, is_http_1_0) = (received.head.method == "HEAD", received.head.is_http_1_0);
         let (vm, shared_flags) = (Rc::clone(self.vm), Rc::clone(&flags));
-        let task =
-            tokio::task::spawn_local(
-                async move { gateway::serve(&vm, &received, &shared_flags).await },
-            );
+        let task = tokio::task::spawn_local(async move {
+            let response = gateway::serve(&vm, &received, &shared_flags).await;
+            drop(received);
+            hold.set_response(match &response.body {
+                ResponseBody::Buffered(body) => body.capacity(),
+                ResponseBody::Streamed(_) => STREAM_BYTES,
+            });
+            (response, hold)
+        });
         self.in_flight.push_back(InFlightRequest {
             is_head,
             is_http_1_0,
@@ -179,15 +215,21 @@
             };
             self.may_start_next = validate_head(&request.head).is_ok()
                 && gateway::is_pipelinable(self.vm, &request.head);
+            let mut response_hold = Hold::new(Rc::clone(&self.account));
+            let request_hold = Hold::new(Rc::clone(&self.account));
+            let mut body = Body::new(&request.head, Some(request_hold));
+            // Responses wait for those to earlier requests, so that their memory is set aside before they are started.
+            self.may_start_next &=
+                response_hold.raise_if_free(STREAM_BYTES) && body.update_hold(0).is_ok();
             if self.may_start_next {
                 self.http.consume(request.head_length);
                 let keeps_alive = request.head.keeps_alive();
                 let received = ReceivedRequest {
                     head: request.head,
-                    body: Vec::new(),
+                    body,
                     arrived_at: self.last_read_at,
                 };
-                self.start(received, keeps_alive);
+                self.start(received, keeps_alive, response_hold);
             }
         }
     }
@@ -200,7 +242,7 @@
         tokio::select! {
             biased;
             response = &mut oldest.task => match response {
-                Ok(response) => Event::Responded(response),
+                Ok((response, hold)) => Event::Responded(response, hold),
                 Err(error) => std::panic::resume_unwind(error.into_panic()),
             },
             is_open = self.http.read_ahead() => if is_open { Event::InputReceived } else { Event::Disconnected },
@@ -237,10 +279,11 @@
         };
         let stays_open = match &response.body {
             ResponseBody::Buffered(body) => {
-                let bytes = render::encode_response(&response, body, &options);
-                match timeout(RESPONSE_WRITE_TIMEOUT, self.http.write_all(&bytes)).await {
-                    Ok(written) => written?,
-                    Err(_elapsed) => return self.abort("the caller does not read its answer"),
+                let head = render::encode_head(&response, Framing::Length(body.len()), &options);
+                let body = if options.is_head { &[][..] } else { body };
+                let parts = [&head[..], body];
+                if !self.write_part(&parts, RESPONSE_WRITE_TIMEOUT).await? {
+                    return self.abort("the caller does not read its answer");
                 }
                 options.keeps_alive
             }
@@ -255,6 +298,21 @@
         Ok(stays_open)
     }
 
+    /// Writes a part of a response within a time limit; returns false if the limit passes or the connection is evicted.
+    async fn write_part(&mut self, parts: &[&[u8]], limit: Duration) -> Result<bool> {
+        self.account.set_activity(Activity::Responding);
+        tokio::select! {
+            biased;
+            () = self.account.evicted() => return Ok(false),
+            written = timeout(limit, self.http.write_parts(parts)) => match written {
+                Ok(written) => written?,
+                Err(_elapsed) => return Ok(false),
+            },
+        }
+        self.account.set_activity(Activity::Serving);
+        Ok(true)
+    }
+
     /// Returns whether further requests may be read from the connection.
     fn accepts_requests(&self) -> bool {
         !self.vm.is_shutting_down() && !self.http.has_discarded_input()
@@ -296,9 +354,8 @@
             let is_end = part.is_empty();
             bytes.extend_from_slice(&render::encode_body_part(part, framing));
             let remaining = clock::now().until(stream.deadline());
-            match timeout(remaining, self.http.write_all(&bytes)).await {
-                Ok(written) => written?,
-                Err(_elapsed) => return self.abort("the caller reads its answer too slowly"),
+            if !self.write_part(&[&bytes], remaining).await? {
+                return self.abort("the caller reads its answer too slowly");
             }
             if is_end {
                 stream.finish();
@@ -363,15 +420,17 @@
 /// Reads a complete request; returns it and whether the caller allows the connection to stay open.
 ///
 /// `received_at` is when its first bytes were read, if that was while an earlier request was served. Otherwise the
-/// request counts as received once its head is complete.
+/// request counts as received once its head is complete. `hold` counts the memory that the request takes, if that is
+/// bounded.
 ///
 /// # Errors
 ///
-/// Returns an error if the connection ends, or the request is malformed or larger than `limits`.
+/// Returns an error if the connection ends, the request is malformed or larger than `limits`, or there is no memory for it.
 pub(super) async fn read_request(
     http: &mut HttpConnection,
     limits: &RequestLimits,
     received_at: Option<Instant>,
+    hold: Option<Hold>,
 ) -> Result<(ReceivedRequest, bool)> {
     let head = http.read_request_head(limits.max_head_bytes).await?;
     let arrived = received_at.unwrap_or_else(clock::now);
@@ -383,7 +442,9 @@
     if expects_continue && !http.has_unread() {
         http.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
     }
-    let body = http.read_body(framing, limits.max_body_bytes).await?;
+    let mut body = Body::new(&head, hold);
+    http.read_body_segments(framing, limits.max_body_bytes, &mut body)
+        .await?;
     let keeps_alive = head.keeps_alive();
     let received = ReceivedRequest {
         head,
@@ -408,6 +469,12 @@
 /// Responds to a request that could not be read, if the connection still allows it, and closes the connection.
 async fn reject(http: &mut HttpConnection, error: &Error) -> Result<()> {
     let (status, reason) = match error {
+        Error::Exhausted => {
+            http.release_buffer();
+            let reason = "no memory left for the request";
+            let response = Response::with_retry_after(503, reason, EXHAUSTED_RETRY_AFTER);
+            return respond_and_close(http, &response).await;
+        }
         Error::Malformed(reason) => (400, *reason),
         Error::TooLarge("request head") => (431, "the head is too large"),
         Error::TooLarge(_) => (413, "the body is too large"),
@@ -426,8 +493,14 @@
             is_head: false,
             idle_timeout: Duration::ZERO,
         };
-        http.write_all(&render::encode_response(response, body, &options))
-            .await?;
+        let bytes = render::encode_response(response, body, &options);
+        // Nothing may be left to wait for if the caller reads no responses.
+        if timeout(LINGER_TIMEOUT, http.write_all(&bytes))
+            .await
+            .is_err()
+        {
+            return Ok(());
+        }
     }
     close_gracefully(http).await
 }
--- a/crates/kumquat-router/src/errors.rs
+++ b/crates/kumquat-router/src/errors.rs
@@ -20,6 +20,9 @@
     /// A part of the message, named by the value, exceeds its size limit.
     #[error("the {0} is larger than allowed")]
     TooLarge(&'static str),
+    /// The memory for callers' requests is exhausted.
+    #[error("no memory left for requests")]
+    Exhausted,
     /// This side resets the connection, for the stated reason.
     #[error("given up: {0}")]
     Aborted(&'static str),
--- a/crates/kumquat-router/src/gateway.rs
+++ b/crates/kumquat-router/src/gateway.rs
@@ -11,7 +11,7 @@
 
 use crate::access_log::AccessLogEntry;
 use crate::config::{Config, Route};
-use crate::http::{Framing, Headers, RequestHead};
+use crate::http::{Body, Framing, Headers, RequestHead};
 use crate::vm::{QueueParams, SlotError, SlotPermit, Target, Vm};
 
 mod attempt;
@@ -61,7 +61,7 @@
     /// Request line and header fields.
     pub head: RequestHead,
     /// Decoded body, without transfer coding; empty if there is none.
-    pub body: Vec<u8>,
+    pub body: Body,
     /// Time at which the head arrived; the deadline counts from it.
     pub arrived_at: Instant,
 }
@@ -111,7 +111,7 @@
     }
 
     /// Returns a generated response with a `Retry-After` field, in seconds with three decimals.
-    fn with_retry_after(status: u16, reason: &str, retry_after: Duration) -> Self {
+    pub(crate) fn with_retry_after(status: u16, reason: &str, retry_after: Duration) -> Self {
         let mut response = Self::local(status, reason);
         let after = retry_after.max(MIN_RETRY_AFTER).as_secs_f64();
         response
--- a/crates/kumquat-router/src/gateway/attempt.rs
+++ b/crates/kumquat-router/src/gateway/attempt.rs
@@ -59,7 +59,8 @@
         if remaining < MIN_REMAINING_TIME {
             return Action::Fail("too little time left");
         }
-        let bytes = self.encode_request(&placed, remaining);
+        let head = self.encode_head(&placed, remaining);
+        let parts = self.with_body(&head);
         let started = clock::now();
         let kind = if progress.sent_count == 0 {
             "request"
@@ -70,13 +71,14 @@
         progress.sent_count += 1;
         progress.sent_to.push(address);
         self.flags.must_finish.set(!self.route.is_idempotent);
-        let request = upstream::UpstreamRequest {
-            method: &self.received.head.method,
-            bytes: &bytes,
-            attempt_id: Some(self.attempt_id),
-        };
-        let exchange =
-            upstream::exchange(&mut wire, &request, &self.vm.dialect, BUFFERED_BODY_BYTES);
+        let exchange = upstream::exchange_parts(
+            &mut wire,
+            &self.received.head.method,
+            &parts,
+            Some(self.attempt_id),
+            &self.vm.dialect,
+            BUFFERED_BODY_BYTES,
+        );
         let result = timeout(remaining, exchange).await;
         let latency = clock::now().saturating_since(started);
         if let (Some(idle_time), Ok(Err(_))) = (idle_time, &result) {
@@ -298,7 +300,7 @@
     /// Serializes the request line and the caller's end-to-end fields, without those in `replaced`.
     pub(super) fn encode_caller_head(&self, replaced: &[&str]) -> Vec<u8> {
         let head = &self.received.head;
-        let mut bytes = Vec::with_capacity(512 + self.received.body.len());
+        let mut bytes = Vec::with_capacity(512);
         append(
             &mut bytes,
             &[&head.method, " ", &head.target, " HTTP/1.1\r\n"],
@@ -317,10 +319,17 @@
         bytes
     }
 
-    /// Serializes the request for an upstream.
+    /// Returns a serialized head together with the body, which is not copied.
+    pub(super) fn with_body<'a>(&'a self, head: &'a [u8]) -> Vec<&'a [u8]> {
+        std::iter::once(head)
+            .chain(self.received.body.slices())
+            .collect()
+    }
+
+    /// Serializes the head of the request for an upstream.
     ///
     /// Omits hop-by-hop fields, the caller's credentials and its values of the fields that the router sets.
-    fn encode_request(&self, placed: &SlotPermit, remaining: Duration) -> Vec<u8> {
+    fn encode_head(&self, placed: &SlotPermit, remaining: Duration) -> Vec<u8> {
         let dialect = &self.vm.dialect;
         let head = &self.received.head;
         let replaced_fields = [
@@ -356,7 +365,6 @@
             append(&mut bytes, &["Content-Length: ", &length, "\r\n"]);
         }
         append(&mut bytes, &["\r\n"]);
-        bytes.extend_from_slice(&self.received.body);
         bytes
     }
 }
--- a/crates/kumquat-router/src/gateway/fingerprint.rs
+++ b/crates/kumquat-router/src/gateway/fingerprint.rs
@@ -14,20 +14,26 @@
     }
 
     fn digest(&self) -> Fingerprint {
+        let mut hasher = blake3::Hasher::new();
+        // Without the lengths, different requests could share an encoding.
+        let add_length = |hasher: &mut blake3::Hasher, length: usize| {
+            let length = u64::try_from(length).unwrap_or(u64::MAX);
+            hasher.update(&length.to_le_bytes());
+        };
         let parts = [
             self.team.unwrap_or_default().as_bytes(),
             self.received.head.method.as_bytes(),
             self.route.host.as_bytes(),
             self.received.head.target.as_bytes(),
-            &self.received.body,
         ];
-        let mut hasher = blake3::Hasher::new();
         for part in parts {
-            // Without the lengths, different requests could share an encoding.
-            let length = u64::try_from(part.len()).unwrap_or(u64::MAX);
-            hasher.update(&length.to_le_bytes());
+            add_length(&mut hasher, part.len());
             hasher.update(part);
         }
+        add_length(&mut hasher, self.received.body.len());
+        for slice in self.received.body.slices() {
+            hasher.update(slice);
+        }
         let mut bytes = [0; 8];
         hasher.finalize_xof().fill(&mut bytes);
         Fingerprint(u64::from_le_bytes(bytes))
--- a/crates/kumquat-router/src/gateway/forward.rs
+++ b/crates/kumquat-router/src/gateway/forward.rs
@@ -104,10 +104,11 @@
             return None;
         }
         progress.forwarded_to = Some(address);
-        let bytes = self.encode_forwarded(remaining);
+        let head = self.encode_forwarded_head(remaining);
+        let parts = self.with_body(&head);
         match timeout(
             remaining,
-            exchange(&mut wire, &self.received.head.method, &bytes),
+            exchange(&mut wire, &self.received.head.method, &parts),
         )
         .await
         {
@@ -183,10 +184,10 @@
         )
     }
 
-    /// Serializes the request for another VM, as the caller sent it but with the time that is left.
+    /// Serializes the head of the request for another VM, as the caller sent it but with the time that is left.
     ///
     /// The other VM authenticates the caller, so that the credentials stay.
-    fn encode_forwarded(&self, remaining: Duration) -> Vec<u8> {
+    fn encode_forwarded_head(&self, remaining: Duration) -> Vec<u8> {
         let mut bytes = self.encode_caller_head(&[self.vm.dialect.deadline_header]);
         let remaining_ms = saturating_millis(remaining).to_string();
         let length = self.received.body.len().to_string();
@@ -195,7 +196,6 @@
             &[self.vm.dialect.deadline_header, ": ", &remaining_ms, "\r\n"],
         );
         append(&mut bytes, &["Content-Length: ", &length, "\r\n\r\n"]);
-        bytes.extend_from_slice(&self.received.body);
         bytes
     }
 
@@ -209,13 +209,14 @@
 async fn exchange(
     wire: &mut HttpConnection,
     method: &str,
-    bytes: &[u8],
+    parts: &[&[u8]],
 ) -> Result<UpstreamResponse, Error> {
+    let length: usize = parts.iter().map(|part| part.len()).sum();
     let mut written = 0;
     let head = wire
-        .write_and_read_response_head(bytes, &mut written)
+        .write_and_read_response_head(parts, &mut written)
         .await?;
     let framing = head.framing(method)?;
-    let is_written = written == bytes.len();
+    let is_written = written == length;
     upstream::read_response(wire, head, framing, is_written, BUFFERED_BODY_BYTES).await
 }
--- a/crates/kumquat-router/src/http.rs
+++ b/crates/kumquat-router/src/http.rs
@@ -7,9 +7,11 @@
 mod body;
 mod buffer;
 mod connection;
+mod segments;
 
 pub use body::BodyReader;
 pub use connection::{HttpConnection, PeekedRequest};
+pub use segments::Body;
 
 /// Largest number of header fields in a message.
 const MAX_HEADERS: usize = 100;
@@ -164,6 +166,16 @@
         }
     }
 
+    /// Returns the approximate memory of the head.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        let fields = self.headers.0.iter();
+        let texts: usize = fields
+            .map(|field| field.name.len() + field.value.len() + size_of::<Header>())
+            .sum();
+        texts + self.method.len() + self.target.len()
+    }
+
     /// Returns the request target without its query.
     #[must_use]
     pub fn path(&self) -> &str {
--- a/crates/kumquat-router/src/http/buffer.rs
+++ b/crates/kumquat-router/src/http/buffer.rs
@@ -1,5 +1,10 @@
 //! The `buffer` module provides the input of a connection that was read and not consumed yet.
 
+/// Part of the allocation by which it grows if that is more than what is needed.
+///
+/// It bounds what a long head takes beyond its length, and how often its bytes are moved.
+const GROWTH_DIVISOR: usize = 4;
+
 /// Input of a connection, whose consumption takes time in proportion to what is consumed.
 ///
 /// A chunked body can be framed in chunks of one byte, so that moving the rest of the input after each of them would take
@@ -48,22 +53,28 @@
         count
     }
 
-    /// Returns the vector to which input is appended, with space for at least `min_bytes`.
-    pub(super) fn reserve(&mut self, min_bytes: usize) -> &mut Vec<u8> {
-        self.bytes.drain(..self.consumed);
-        self.consumed = 0;
-        self.bytes.reserve(min_bytes);
-        &mut self.bytes
+    /// Returns the size of the allocation.
+    pub(super) const fn capacity(&self) -> usize {
+        self.bytes.capacity()
     }
 
-    /// Drops all but the first `length` bytes that are not consumed.
-    pub(super) fn truncate(&mut self, length: usize) {
-        self.bytes.truncate(self.consumed + length);
+    /// Returns the size of the allocation after [`Self::reserve`] with the same argument.
+    pub(super) fn capacity_with(&self, min_bytes: usize) -> usize {
+        let needed = self.len().saturating_add(min_bytes);
+        let capacity = self.capacity();
+        if needed <= capacity {
+            capacity
+        } else {
+            needed.max(capacity + capacity / GROWTH_DIVISOR)
+        }
     }
 
-    /// Drops all input and keeps the memory.
-    pub(super) fn clear(&mut self) {
-        self.bytes.clear();
+    /// Returns the vector to which input is appended, with space for at least `min_bytes`.
+    pub(super) fn reserve(&mut self, min_bytes: usize) -> &mut Vec<u8> {
+        let capacity = self.capacity_with(min_bytes);
+        self.bytes.drain(..self.consumed);
         self.consumed = 0;
+        self.bytes.reserve_exact(capacity - self.bytes.len());
+        &mut self.bytes
     }
 }
--- a/crates/kumquat-router/src/http/connection.rs
+++ b/crates/kumquat-router/src/http/connection.rs
@@ -2,6 +2,7 @@
 //!
 //! A connection holds no buffer while it is idle.
 
+use std::io::IoSlice;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,8 +13,10 @@
 
 use super::body::BodyReader;
 use super::buffer::ReadBuffer;
+use super::segments::Body;
 use super::{Framing, MAX_HEADERS, MAX_RESPONSE_HEAD_BYTES, RequestHead, ResponseHead, to_headers};
 use crate::errors::{Error, Result};
+use crate::intake::Hold;
 
 /// Buffer space that is reserved for each read of a head.
 const MIN_READ_BYTES: usize = 2 * 1024;
@@ -21,6 +24,11 @@
 /// Largest amount of pipelined requests that is buffered while earlier requests are being served.
 const MAX_READ_AHEAD_BYTES: usize = 32 * 1024;
 
+/// Largest amount of input that one read discards.
+///
+/// With reads of 2 KB, a disconnect behind 256 KB of unread input was noticed only after more than 200 ms.
+const MAX_DISCARD_BYTES: usize = 32 * 1024;
+
 /// Bytes read or written that count as one unit of the budget of a task, which has 128 of them before it yields.
 ///
 /// It bounds the time for which a connection with endless input keeps other tasks waiting, whatever the size of its reads.
@@ -32,6 +40,9 @@
 /// and discarding what a caller keeps sending.
 const DISCARD_INTERVAL: Duration = Duration::from_millis(2);
 
+/// Largest number of slices that one write takes; more of them would not fit into the kernel's buffer.
+const MAX_WRITTEN_SLICES: usize = 16;
+
 /// Largest number of interim (1xx) responses before a final response; servers send one or two.
 const MAX_INTERIM_RESPONSES: u32 = 8;
 
@@ -64,6 +75,8 @@
     uncharged_bytes: usize,
     has_discarded_input: bool,
     has_had_response: bool,
+    // What the buffer takes of the memory for callers; absent on connections to upstreams.
+    hold: Option<Hold>,
 }
 
 impl HttpConnection {
@@ -84,6 +97,7 @@
             uncharged_bytes: 0,
             has_discarded_input: false,
             has_had_response: false,
+            hold: None,
         }
     }
 
@@ -103,6 +117,24 @@
         Ok(connection)
     }
 
+    /// Counts the memory of the connection's buffer from now on.
+    pub fn set_hold(&mut self, hold: Hold) {
+        self.hold = Some(hold);
+    }
+
+    /// Drops the unread input and the memory that it takes.
+    pub fn release_buffer(&mut self) {
+        self.buffer = ReadBuffer::default();
+        self.shrink_hold();
+    }
+
+    /// Counts the memory of the buffer after it has become smaller.
+    fn shrink_hold(&mut self) {
+        if let Some(hold) = &mut self.hold {
+            hold.shrink_to(self.buffer.capacity());
+        }
+    }
+
     /// Starts or stops the keep-alive probes, by which the kernel closes a connection whose path has failed.
     pub fn set_keep_alive(&self, is_enabled: bool) {
         // Without probes, a failed connection is detected by the timeout of the next request.
@@ -149,7 +181,9 @@
 
     /// Moves up to `max_bytes` unread bytes to the end of `output`; returns how many.
     pub(super) fn move_unread_to(&mut self, output: &mut Vec<u8>, max_bytes: usize) -> usize {
-        self.buffer.move_to(output, max_bytes)
+        let count = self.buffer.move_to(output, max_bytes);
+        self.shrink_hold();
+        count
     }
 
     /// Waits until bytes can be read or the peer closes the connection, without holding a buffer.
@@ -159,7 +193,7 @@
     /// Returns an error if the connection fails.
     pub async fn wait_readable(&mut self) -> Result<()> {
         if self.buffer.is_empty() {
-            self.buffer = ReadBuffer::default();
+            self.release_buffer();
             // `readable` also returns for a new connection without input.
             self.stream.peek(&mut [0_u8]).await?;
         }
@@ -185,24 +219,49 @@
     ///
     /// Input beyond a limit is discarded, so that buffering is bounded and a close is still detected.
     pub async fn read_ahead(&mut self) -> bool {
-        let buffered = self.buffer.len();
-        if buffered >= MAX_READ_AHEAD_BYTES {
-            tokio::time::sleep(DISCARD_INTERVAL).await;
+        if self.buffer.len() >= MAX_READ_AHEAD_BYTES || self.has_discarded_input {
+            return self.discard_ahead().await;
         }
-        let is_open = matches!(self.fill_buffer(MIN_READ_BYTES).await, Ok(1..));
-        if buffered >= MAX_READ_AHEAD_BYTES && is_open {
-            self.has_discarded_input = true;
-            self.buffer.truncate(buffered);
+        // A request that is being served is never evicted, so that what lies behind it may not use up the memory.
+        let count_if_free = |hold: &mut Hold, bytes: usize| {
+            let is_raised = hold.raise_if_free(bytes);
+            is_raised.then_some(()).ok_or(Error::Exhausted)
+        };
+        match self.fill_counted(MIN_READ_BYTES, count_if_free).await {
+            Ok(count) => count > 0,
+            Err(Error::Exhausted) => self.discard_ahead().await,
+            Err(_) => false,
         }
+    }
+
+    /// Waits for bytes that can't be buffered and discards them; returns false at the end of the connection.
+    async fn discard_ahead(&mut self) -> bool {
+        tokio::time::sleep(DISCARD_INTERVAL).await;
+        let is_open = matches!(self.discard().await, Ok(1..));
+        self.has_discarded_input |= is_open;
         is_open
     }
 
+    /// Reads and discards bytes without holding a buffer; returns their number, 0 at the end of the stream.
+    async fn discard(&mut self) -> Result<usize> {
+        loop {
+            self.charge().await;
+            self.stream.readable().await?;
+            match self.stream.try_read(&mut [0_u8; MAX_DISCARD_BYTES]) {
+                Ok(count) => {
+                    self.uncharged_bytes += count;
+                    return Ok(count);
+                }
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error.into()),
+            }
+        }
+    }
+
     /// Reads and discards input until the peer closes the connection.
     pub async fn discard_until_closed(&mut self) {
-        self.buffer = ReadBuffer::default();
-        while matches!(self.fill_buffer(MIN_READ_BYTES).await, Ok(1..)) {
-            self.buffer.clear();
-        }
+        self.release_buffer();
+        while matches!(self.discard().await, Ok(1..)) {}
     }
 
     /// Counts a read or write, and the bytes of those before it, towards the budget of the task.
@@ -214,9 +273,21 @@
 
     /// Reads once, with buffer space for at least `min_bytes`; returns the number of bytes, 0 at the end of the stream.
     pub(super) async fn fill_buffer(&mut self, min_bytes: usize) -> Result<usize> {
+        self.fill_counted(min_bytes, Hold::set).await
+    }
+
+    /// Reads once as [`Self::fill_buffer`] does, after `count` has counted the memory that the buffer takes then.
+    async fn fill_counted(
+        &mut self,
+        min_bytes: usize,
+        count: impl Fn(&mut Hold, usize) -> Result<()>,
+    ) -> Result<usize> {
         loop {
             self.charge().await;
             self.stream.readable().await?;
+            if let Some(hold) = &mut self.hold {
+                count(hold, self.buffer.capacity_with(min_bytes))?;
+            }
             match self.stream.try_read_buf(self.buffer.reserve(min_bytes)) {
                 Ok(count) => {
                     self.uncharged_bytes += count;
@@ -303,7 +374,7 @@
         self.write_and_read_response_head(&[], &mut 0).await
     }
 
-    /// Writes `bytes` from the index `written` on and reads the head of a response at the same time.
+    /// Writes the bytes of all `parts` from the index `written` on and reads the head of a response at the same time.
     ///
     /// An upstream may respond before it has read a long body, so this returns as soon as the head of the response is
     /// complete; `written` then tells how much was sent. Interim responses are skipped.
@@ -313,9 +384,10 @@
     /// Returns an error if the connection fails, or the head is malformed or longer than [`MAX_RESPONSE_HEAD_BYTES`].
     pub async fn write_and_read_response_head(
         &mut self,
-        bytes: &[u8],
+        parts: &[&[u8]],
         written: &mut usize,
     ) -> Result<ResponseHead> {
+        let length = parts.iter().map(|part| part.len()).sum();
         let mut search_from = 0;
         let mut interim_responses = 0;
         loop {
@@ -331,18 +403,18 @@
                 }
             }
             search_from = self.buffer.len().saturating_sub(3);
-            if *written < bytes.len() {
-                self.write_or_read(bytes, written).await?;
+            if *written < length {
+                self.write_or_read(parts, written).await?;
             } else {
                 self.read_more_of_head().await?;
             }
         }
     }
 
-    /// Writes some of `bytes` or, if the peer accepts no more for now, reads what it sends.
-    async fn write_or_read(&mut self, bytes: &[u8], written: &mut usize) -> Result<()> {
+    /// Writes some of `parts` or, if the peer accepts no more for now, reads what it sends.
+    async fn write_or_read(&mut self, parts: &[&[u8]], written: &mut usize) -> Result<()> {
         self.charge().await;
-        match self.stream.try_write(&bytes[*written..]) {
+        match self.try_write_parts(parts, *written) {
             Ok(count) => {
                 self.uncharged_bytes += count;
                 *written += count;
@@ -369,6 +441,21 @@
         }
     }
 
+    /// Writes some of the bytes of all `parts` from an index on, without waiting; returns how many.
+    fn try_write_parts(&self, parts: &[&[u8]], mut index: usize) -> std::io::Result<usize> {
+        let mut slices = [IoSlice::new(&[]); MAX_WRITTEN_SLICES];
+        let mut count = 0;
+        for part in parts {
+            if index >= part.len() {
+                index -= part.len();
+            } else if count < MAX_WRITTEN_SLICES {
+                slices[count] = IoSlice::new(&part[index..]);
+                (index, count) = (0, count + 1);
+            }
+        }
+        self.stream.try_write_vectored(&slices[..count])
+    }
+
     fn parse_response_head(&mut self, search_from: usize) -> Result<Option<ResponseHead>> {
         // The first bytes are parsed at once, so that a peer that does not speak HTTP is rejected early. After that the
         // head is parsed only when it may be complete, as it can arrive byte by byte.
@@ -425,6 +512,36 @@
         Ok(body)
     }
 
+    /// Reads a complete body to the end of `body`, which is empty.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::read_body`], and if the memory for callers is exhausted.
+    pub async fn read_body_segments(
+        &mut self,
+        framing: Framing,
+        max_bytes: usize,
+        body: &mut Body,
+    ) -> Result<()> {
+        let mut reader = BodyReader::new(framing);
+        while !reader.is_complete() {
+            let announced = reader.announced_bytes();
+            if body.len().saturating_add(announced) > max_bytes {
+                return Err(Error::TooLarge("body"));
+            }
+            let max_read_bytes = max_bytes.saturating_add(1) - body.len();
+            let segment = body.space(announced)?;
+            let room = segment.capacity() - segment.len();
+            reader
+                .read_element(self, segment, room.min(max_read_bytes))
+                .await?;
+            if body.len() > max_bytes {
+                return Err(Error::TooLarge("body"));
+            }
+        }
+        body.update_hold(0)
+    }
+
     /// Closes the sending direction of the connection.
     ///
     /// # Errors
@@ -440,10 +557,20 @@
     ///
     /// Returns an error if the connection fails; part of the bytes may then have been sent.
     pub async fn write_all(&mut self, bytes: &[u8]) -> Result<()> {
+        self.write_parts(&[bytes]).await
+    }
+
+    /// Writes all bytes of `parts` in their order.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::write_all`].
+    pub async fn write_parts(&mut self, parts: &[&[u8]]) -> Result<()> {
+        let length = parts.iter().map(|part| part.len()).sum();
         let mut written = 0;
-        while written < bytes.len() {
+        while written < length {
             self.charge().await;
-            match self.stream.try_write(&bytes[written..]) {
+            match self.try_write_parts(parts, written) {
                 Ok(count) => {
                     self.uncharged_bytes += count;
                     written += count;
--- /dev/null
+++ b/crates/kumquat-router/src/intake.rs
@@ -0,0 +1,297 @@
+//! The `intake` module provides the accounts of what callers' connections hold in memory.
+//!
+//! The decisions are made by [`kumquat_coordination::fleet::intake`]; this module carries them out and reports them.
+
+use std::cell::{Cell, RefCell};
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use kumquat_coordination::fleet::intake::{Activity, Bounds, Eviction, Intake};
+use kumquat_state::clock::{self, Instant};
+use slog::{Logger, warn};
+use tokio::sync::Notify;
+
+use crate::errors::{Error, Result};
+use crate::metrics::Metrics;
+
+/// Shortest time between two log lines about evictions.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Evictions and rejections since the last log line about them.
+#[derive(Debug, Default)]
+struct Unlogged {
+    receiving: u64,
+    unread: u64,
+    connections: u64,
+    rejected: u64,
+    logged_at: Option<Instant>,
+}
+
+/// The accounts of all callers' connections of a VM.
+#[derive(Debug)]
+pub struct Ledger {
+    intake: RefCell<Intake>,
+    // In ascending order of ids.
+    accounts: RefCell<Vec<(u64, Weak<Account>)>>,
+    unlogged: RefCell<Unlogged>,
+    metrics: Metrics,
+    log: Logger,
+}
+
+impl Ledger {
+    /// Creates the accounts of a VM whose memory and descriptors are not stated.
+    #[must_use]
+    pub fn new(metrics: Metrics, log: Logger) -> Rc<Self> {
+        Rc::new(Self {
+            intake: RefCell::new(Intake::new(Bounds::new(None, None))),
+            accounts: RefCell::default(),
+            unlogged: RefCell::default(),
+            metrics,
+            log,
+        })
+    }
+
+    /// Sets the bounds of the VM.
+    pub fn set_bounds(&self, bounds: Bounds) {
+        self.intake.borrow_mut().set_bounds(bounds);
+    }
+
+    /// Sets the length of the largest request that the desired state allows.
+    pub fn set_largest_request(&self, bytes: usize) {
+        self.intake.borrow_mut().set_largest_request(bytes);
+    }
+
+    /// Opens the account of a new connection, in place of another connection if there are too many.
+    ///
+    /// Returns `None` if there is no room, and then the connection is to be closed.
+    pub fn open(self: &Rc<Self>) -> Option<Rc<Account>> {
+        let opened = self.intake.borrow_mut().open(clock::now());
+        let Some((id, eviction)) = opened else {
+            self.count_rejection("connections");
+            return None;
+        };
+        let account = Rc::new(Account {
+            ledger: Rc::clone(self),
+            id,
+            eviction: Notify::new(),
+            is_evicted: Cell::new(false),
+        });
+        let entry = (id, Rc::downgrade(&account));
+        self.accounts.borrow_mut().push(entry);
+        if let Some(eviction) = eviction {
+            self.metrics
+                .intake_evictions
+                .with_label_values(&["connections"])
+                .inc();
+            self.unlogged.borrow_mut().connections += 1;
+            self.notify(eviction);
+        }
+        self.report();
+        Some(account)
+    }
+
+    /// Tells connections that they are evicted for the memory that they hold.
+    fn evict(&self, evictions: Vec<Eviction>) {
+        for eviction in evictions {
+            let is_unread = eviction.activity == Activity::Responding;
+            let reason = if is_unread { "unread" } else { "receiving" };
+            self.metrics
+                .intake_evictions
+                .with_label_values(&[reason])
+                .inc();
+            let mut unlogged = self.unlogged.borrow_mut();
+            if is_unread {
+                unlogged.unread += 1;
+            } else {
+                unlogged.receiving += 1;
+            }
+            drop(unlogged);
+            self.notify(eviction);
+        }
+    }
+
+    fn notify(&self, eviction: Eviction) {
+        let accounts = self.accounts.borrow();
+        let position = accounts.binary_search_by_key(&eviction.connection, |(id, _)| *id);
+        let account = position
+            .ok()
+            .and_then(|position| accounts[position].1.upgrade());
+        if let Some(account) = account {
+            account.is_evicted.set(true);
+            account.eviction.notify_one();
+        }
+        drop(accounts);
+        self.log_evictions();
+    }
+
+    /// Logs the evictions since the last line, unless that was less than a second ago.
+    fn log_evictions(&self) {
+        let now = clock::now();
+        let mut unlogged = self.unlogged.borrow_mut();
+        if unlogged
+            .logged_at
+            .is_some_and(|logged_at| now.saturating_since(logged_at) < LOG_INTERVAL)
+        {
+            return;
+        }
+        let intake = self.intake.borrow();
+        warn!(self.log, "callers' connections evicted"; "receiving" => unlogged.receiving,
+            "unread" => unlogged.unread, "connections" => unlogged.connections, "rejected" => unlogged.rejected,
+            "held_bytes" => intake.held_bytes(), "budget_bytes" => intake.budget_bytes(),
+            "open" => intake.connections());
+        *unlogged = Unlogged {
+            logged_at: Some(now),
+            ..Unlogged::default()
+        };
+    }
+
+    fn count_rejection(&self, reason: &str) {
+        self.metrics
+            .intake_rejections
+            .with_label_values(&[reason])
+            .inc();
+        self.unlogged.borrow_mut().rejected += 1;
+    }
+
+    /// Publishes the sums as metrics.
+    fn report(&self) {
+        let intake = self.intake.borrow();
+        let gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
+        self.metrics
+            .intake_held_bytes
+            .set(gauge(intake.held_bytes()));
+        self.metrics
+            .intake_connections
+            .set(gauge(intake.connections()));
+    }
+}
+
+/// The account of one connection, which is closed when the connection and all that it holds are dropped.
+#[derive(Debug)]
+pub struct Account {
+    ledger: Rc<Ledger>,
+    id: u64,
+    eviction: Notify,
+    is_evicted: Cell<bool>,
+}
+
+impl Account {
+    /// Records what the connection does from now on.
+    pub fn set_activity(&self, activity: Activity) {
+        let mut intake = self.ledger.intake.borrow_mut();
+        intake.set_activity(self.id, activity, clock::now());
+    }
+
+    /// Waits until the connection is evicted.
+    pub async fn evicted(&self) {
+        while !self.is_evicted.get() {
+            self.eviction.notified().await;
+        }
+    }
+
+    fn grow(&self, bytes: usize) -> Result<()> {
+        let growth = self.ledger.intake.borrow_mut().grow(self.id, bytes);
+        self.ledger.evict(growth.evictions);
+        self.ledger.report();
+        if growth.is_granted {
+            return Ok(());
+        }
+        if !self.is_evicted.get() {
+            self.ledger.count_rejection("memory");
+        }
+        Err(Error::Exhausted)
+    }
+}
+
+impl Drop for Account {
+    fn drop(&mut self) {
+        self.ledger.intake.borrow_mut().close(self.id);
+        let mut accounts = self.ledger.accounts.borrow_mut();
+        if let Ok(position) = accounts.binary_search_by_key(&self.id, |(id, _)| *id) {
+            accounts.remove(position);
+        }
+        drop(accounts);
+        self.ledger.report();
+    }
+}
+
+/// Bytes that a connection holds, which are released when this is dropped.
+#[derive(Debug)]
+pub struct Hold {
+    account: Rc<Account>,
+    bytes: usize,
+}
+
+impl Hold {
+    /// Creates a hold of no bytes.
+    #[must_use]
+    pub const fn new(account: Rc<Account>) -> Self {
+        Self { account, bytes: 0 }
+    }
+
+    /// Changes the number of bytes, if need be in place of what other connections hold.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Exhausted`] if there is no room for more bytes; the number then stays as it is.
+    pub fn set(&mut self, bytes: usize) -> Result<()> {
+        if bytes > self.bytes {
+            self.account.grow(bytes - self.bytes)?;
+            self.bytes = bytes;
+        } else {
+            self.shrink_to(bytes);
+        }
+        Ok(())
+    }
+
+    /// Lowers the number of bytes, unless it is lower already.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        if bytes < self.bytes {
+            let ledger = &self.account.ledger;
+            let released = self.bytes - bytes;
+            ledger.intake.borrow_mut().shrink(self.account.id, released);
+            ledger.report();
+            self.bytes = bytes;
+        }
+    }
+
+    /// Raises the number of bytes if at least half of the VM's budget stays free; returns whether there is room.
+    #[must_use]
+    pub fn raise_if_free(&mut self, bytes: usize) -> bool {
+        if bytes <= self.bytes {
+            return true;
+        }
+        let ledger = &self.account.ledger;
+        let is_raised = ledger
+            .intake
+            .borrow_mut()
+            .grow_if_free(self.account.id, bytes - self.bytes);
+        if is_raised {
+            self.bytes = bytes;
+            ledger.report();
+        }
+        is_raised
+    }
+
+    /// Changes the number of bytes to that of a response, which is held whether there is room or not.
+    pub fn set_response(&mut self, bytes: usize) {
+        self.shrink_to(bytes);
+        let grown = bytes - self.bytes;
+        if grown > 0 {
+            let ledger = &self.account.ledger;
+            let evictions = ledger
+                .intake
+                .borrow_mut()
+                .grow_response(self.account.id, grown);
+            ledger.evict(evictions);
+            ledger.report();
+            self.bytes = bytes;
+        }
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.shrink_to(0);
+    }
+}
--- a/crates/kumquat-router/src/lib.rs
+++ b/crates/kumquat-router/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod errors;
 pub mod gateway;
 pub mod http;
+pub mod intake;
 pub mod metrics;
 pub mod peers;
 pub mod pool;
--- a/crates/kumquat-router/src/metrics.rs
+++ b/crates/kumquat-router/src/metrics.rs
@@ -50,6 +50,14 @@
     pub queued_requests: IntGauge,
     /// Open connections from callers.
     pub caller_connections: IntGauge,
+    /// Bytes that callers' connections hold.
+    pub intake_held_bytes: IntGauge,
+    /// Callers' connections that count towards their maximum.
+    pub intake_connections: IntGauge,
+    /// Connections closed to make room, by reason.
+    pub intake_evictions: IntCounterVec,
+    /// Requests and connections rejected for lack of room, by reason.
+    pub intake_rejections: IntCounterVec,
     /// Time by which timers of the event loop fire late, in seconds.
     pub event_loop_delay: Histogram,
 }
@@ -149,6 +157,24 @@
                 "kumquat_vm_caller_connections",
                 "Open connections of callers.",
             )?,
+            intake_held_bytes: gauge(
+                "kumquat_vm_intake_held_bytes",
+                "Bytes that callers' connections hold.",
+            )?,
+            intake_connections: gauge(
+                "kumquat_vm_intake_connections",
+                "Callers' connections that count towards their maximum.",
+            )?,
+            intake_evictions: counter(
+                "kumquat_vm_intake_evictions_total",
+                "Callers' connections closed to make room.",
+                &["reason"],
+            )?,
+            intake_rejections: counter(
+                "kumquat_vm_intake_rejections_total",
+                "Requests and connections rejected for lack of room.",
+                &["reason"],
+            )?,
             event_loop_delay: histogram(
                 "kumquat_vm_event_loop_delay_seconds",
                 "Time by which timers of the event loop fire late.",
--- a/crates/kumquat-router/src/upstream.rs
+++ b/crates/kumquat-router/src/upstream.rs
@@ -131,28 +131,54 @@
     dialect: &Dialect,
     max_body_bytes: usize,
 ) -> Result<UpstreamResponse, ExchangeError> {
+    let parts = [request.bytes];
+    exchange_parts(
+        wire,
+        request.method,
+        &parts,
+        request.attempt_id,
+        dialect,
+        max_body_bytes,
+    )
+    .await
+}
+
+/// Sends a request whose bytes lie in several places, as [`exchange`] does.
+///
+/// # Errors
+///
+/// As for [`exchange`].
+pub async fn exchange_parts(
+    wire: &mut HttpConnection,
+    method: &str,
+    parts: &[&[u8]],
+    attempt_id: Option<&str>,
+    dialect: &Dialect,
+    max_body_bytes: usize,
+) -> Result<UpstreamResponse, ExchangeError> {
+    let length: usize = parts.iter().map(|part| part.len()).sum();
     let mut written_bytes = 0;
     for _ in 0..=MAX_SKIPPED_RESPONSES {
         let may_be_repeated = wire.has_had_response();
         let head = wire
-            .write_and_read_response_head(request.bytes, &mut written_bytes)
+            .write_and_read_response_head(parts, &mut written_bytes)
             .await
             .map_err(ExchangeError::OutcomeUnknown)?;
         let framing = head
-            .framing(request.method)
+            .framing(method)
             .map_err(ExchangeError::OutcomeUnknown)?;
         // A late or duplicate response to an earlier request can precede the response to this one.
-        if is_for_other_request(&head, request.attempt_id, dialect) {
+        if is_for_other_request(&head, attempt_id, dialect) {
             skip_body(wire, framing)
                 .await
                 .map_err(ExchangeError::OutcomeUnknown)?;
             continue;
         }
-        if may_be_repeated && lacks_id(&head, request.attempt_id, dialect) {
+        if may_be_repeated && lacks_id(&head, attempt_id, dialect) {
             let error = Error::Aborted("answer without an id on a reused connection");
             return Err(ExchangeError::OutcomeUnknown(error));
         }
-        let is_written = written_bytes == request.bytes.len();
+        let is_written = written_bytes == length;
         let response = read_response(wire, head, framing, is_written, max_body_bytes).await;
         let mut response = response.map_err(ExchangeError::OutcomeUnknown)?;
         if announces_shutdown(&response.head, dialect) {
--- a/crates/kumquat-router/src/vm.rs
+++ b/crates/kumquat-router/src/vm.rs
@@ -15,6 +15,7 @@
 use crate::access_log::AccessLog;
 use crate::config::{Config, Route};
 use crate::dialect::Dialect;
+use crate::intake::Ledger;
 use crate::metrics::Metrics;
 use crate::pool::ConnectionPool;
 use crate::sorted;
@@ -94,6 +95,8 @@
     pub request_log: AccessLog,
     /// Prometheus metrics of this process.
     pub metrics: Metrics,
+    /// What callers' connections hold in memory.
+    pub intake: Rc<Ledger>,
     /// Idle connections to upstreams.
     pub pool: RefCell<ConnectionPool>,
     /// Notified when a peer reports a newer store revision than this VM has read.
@@ -119,6 +122,7 @@
         metrics: Metrics,
     ) -> Rc<Self> {
         let request_log = AccessLog::new(log.clone(), metrics.clone());
+        let intake = Ledger::new(metrics.clone(), log.clone());
         let mut state = State::default();
         state.table.set_local_data_centre(&identity.data_centre);
         state.table.set_limit_seed(identity.incarnation);
@@ -130,6 +134,7 @@
             log,
             request_log,
             metrics,
+            intake,
             pool: RefCell::default(),
             behind_peers: Notify::new(),
             peer_joined: Notify::new(),
@@ -156,6 +161,9 @@
         }
         info!(self.log, "desired state in force"; "version" => config.version, "before" => current_version,
             "routes" => config.routes.len(), "services" => config.services.len(), "teams" => config.teams.len());
+        let largest_request = config.limits.max_head_bytes;
+        let largest_request = largest_request.saturating_add(config.limits.max_body_bytes);
+        self.intake.set_largest_request(largest_request);
         let limits: Vec<(u32, f64, f64)> = config
             .teams
             .iter()
