--- a/crates/kumquat-coordination/src/fleet/intake.rs
+++ b/crates/kumquat-coordination/src/fleet/intake.rs
@@ -167,7 +167,7 @@
     pub fn open(&mut self, now: Instant) -> Option<(u64, Option<Eviction>)> {
         let max = self.bounds.max_connections;
         // Connections that are being closed still have their descriptors.
-        if self.entries.len() >= max + max / CLOSING_DIVISOR + 1 {
+        if self.entries.len() > max + max / CLOSING_DIVISOR {
             return None;
         }
         let mut eviction = None;
--- a/crates/kumquat-router/src/caller/connection.rs
+++ b/crates/kumquat-router/src/caller/connection.rs
@@ -281,7 +281,7 @@
             ResponseBody::Buffered(body) => {
                 let head = render::encode_head(&response, Framing::Length(body.len()), &options);
                 let body = if options.is_head { &[][..] } else { body };
-                let parts = [&head[..], body];
+                let parts = [&*head, body];
                 if !self.write_part(&parts, RESPONSE_WRITE_TIMEOUT).await? {
                     return self.abort("the caller does not read its answer");
                 }
--- a/crates/kumquat-router/src/http/connection.rs
+++ b/crates/kumquat-router/src/http/connection.rs
@@ -27,7 +27,7 @@
 /// Largest amount of input that one read discards.
 ///
 /// With reads of 2 KB, a disconnect behind 256 KB of unread input was noticed only after more than 200 ms.
-const MAX_DISCARD_BYTES: usize = 32 * 1024;
+const MAX_DISCARD_BYTES: usize = 16 * 1024;
 
 /// Bytes read or written that count as one unit of the budget of a task, which has 128 of them before it yields.
 ///
--- a/crates/kumquat-router/src/intake.rs
+++ b/crates/kumquat-router/src/intake.rs
@@ -80,7 +80,8 @@
         self.accounts.borrow_mut().push(entry);
         if let Some(eviction) = eviction {
             self.metrics
-                .intake_evictions
+                .intake
+                .evictions
                 .with_label_values(&["connections"])
                 .inc();
             self.unlogged.borrow_mut().connections += 1;
@@ -96,7 +97,8 @@
             let is_unread = eviction.activity == Activity::Responding;
             let reason = if is_unread { "unread" } else { "receiving" };
             self.metrics
-                .intake_evictions
+                .intake
+                .evictions
                 .with_label_values(&[reason])
                 .inc();
             let mut unlogged = self.unlogged.borrow_mut();
@@ -147,7 +149,8 @@
 
     fn count_rejection(&self, reason: &str) {
         self.metrics
-            .intake_rejections
+            .intake
+            .rejections
             .with_label_values(&[reason])
             .inc();
         self.unlogged.borrow_mut().rejected += 1;
@@ -158,10 +161,12 @@
         let intake = self.intake.borrow();
         let gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
         self.metrics
-            .intake_held_bytes
+            .intake
+            .held_bytes
             .set(gauge(intake.held_bytes()));
         self.metrics
-            .intake_connections
+            .intake
+            .connections
             .set(gauge(intake.connections()));
     }
 }
--- a/crates/kumquat-router/src/metrics.rs
+++ b/crates/kumquat-router/src/metrics.rs
@@ -50,14 +50,8 @@
     pub queued_requests: IntGauge,
     /// Open connections from callers.
     pub caller_connections: IntGauge,
-    /// Bytes that callers' connections hold.
-    pub intake_held_bytes: IntGauge,
-    /// Callers' connections that count towards their maximum.
-    pub intake_connections: IntGauge,
-    /// Connections closed to make room, by reason.
-    pub intake_evictions: IntCounterVec,
-    /// Requests and connections rejected for lack of room, by reason.
-    pub intake_rejections: IntCounterVec,
+    /// What callers take of the VM's memory and descriptors.
+    pub intake: IntakeMetrics,
     /// Time by which timers of the event loop fire late, in seconds.
     pub event_loop_delay: Histogram,
 }
@@ -157,24 +151,7 @@
                 "kumquat_vm_caller_connections",
                 "Open connections of callers.",
             )?,
-            intake_held_bytes: gauge(
-                "kumquat_vm_intake_held_bytes",
-                "Bytes that callers' connections hold.",
-            )?,
-            intake_connections: gauge(
-                "kumquat_vm_intake_connections",
-                "Callers' connections that count towards their maximum.",
-            )?,
-            intake_evictions: counter(
-                "kumquat_vm_intake_evictions_total",
-                "Callers' connections closed to make room.",
-                &["reason"],
-            )?,
-            intake_rejections: counter(
-                "kumquat_vm_intake_rejections_total",
-                "Requests and connections rejected for lack of room.",
-                &["reason"],
-            )?,
+            intake: IntakeMetrics::new(&registrar)?,
             event_loop_delay: histogram(
                 "kumquat_vm_event_loop_delay_seconds",
                 "Time by which timers of the event loop fire late.",
@@ -194,6 +171,44 @@
     }
 }
 
+/// Metrics of what callers take of a VM's memory and descriptors.
+#[derive(Clone, Debug)]
+pub struct IntakeMetrics {
+    /// Bytes that callers' connections hold.
+    pub held_bytes: IntGauge,
+    /// Callers' connections that count towards their maximum.
+    pub connections: IntGauge,
+    /// Connections closed to make room, by reason.
+    pub evictions: IntCounterVec,
+    /// Requests and connections rejected for lack of room, by reason.
+    pub rejections: IntCounterVec,
+}
+
+impl IntakeMetrics {
+    fn new(registrar: &Registrar<'_>) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            held_bytes: registrar.gauge(
+                "kumquat_vm_intake_held_bytes",
+                "Bytes that callers' connections hold.",
+            )?,
+            connections: registrar.gauge(
+                "kumquat_vm_intake_connections",
+                "Callers' connections that count towards their maximum.",
+            )?,
+            evictions: registrar.counter(
+                "kumquat_vm_intake_evictions_total",
+                "Callers' connections closed to make room.",
+                &["reason"],
+            )?,
+            rejections: registrar.counter(
+                "kumquat_vm_intake_rejections_total",
+                "Requests and connections rejected for lack of room.",
+                &["reason"],
+            )?,
+        })
+    }
+}
+
 /// Creates metrics and registers them.
 #[derive(Debug)]
 struct Registrar<'a>(&'a Registry);
