Test what callers see when a VM has to make room

The scenarios with real processes check memory, descriptors and that ordinary requests are answered, but not what an evicted caller is told or whether a body in segments reaches an upstream unchanged. Three tests of the router cover it: a large body, with a length or in chunks, is the same at both attempts; a request that stops short gets 503 with Retry-After and is not sent; an idle connection is closed for a new one.

--- /dev/null
+++ b/crates/kumquat-router/tests/intake.rs
@@ -0,0 +1,108 @@
+//! Tests what callers see when a VM has to make room, and that large bodies reach upstreams unchanged.
+
+mod fixture {
+    pub mod router;
+}
+
+use fixture::router::{
+    Router, ScriptedUpstream, UpstreamAction, header_field, read_answer, request, run_local_test,
+    send_request, sleep_ms, start_request, start_router, status,
+};
+use kumquat_coordination::fleet::intake::Bounds;
+use tokio::io::AsyncReadExt as _;
+
+/// Returns a request whose head announces a body of this length.
+fn upload(path: &str, id: &str, length: usize) -> String {
+    let field = format!("Content-Length: {length}\r\nHost:");
+    request("POST", path, id).replace("Host:", &field)
+}
+
+/// Returns a body whose bytes differ from one position to the next, so that a lost or repeated part shows.
+fn varied_body(length: usize) -> String {
+    let digits = (0..).flat_map(|number: u32| format!("{number},").into_bytes());
+    String::from_utf8(digits.take(length).collect()).expect("text")
+}
+
+/// Bounds a router to the least budget, which holds one request of the largest legal size.
+fn bound(router: &Router, max_connections: usize) {
+    router.vm.intake.set_bounds(Bounds {
+        budget_bytes: 0,
+        max_connections,
+    });
+}
+
+/// Guards against bodies that lose or repeat parts in their segments, in particular at a second attempt.
+#[test]
+fn large_bodies_are_forwarded_unchanged_at_each_attempt() {
+    run_local_test(async {
+        let body = varied_body(100_003);
+        let chunks = body.as_bytes().chunks(7_001);
+        let chunks = chunks.map(|chunk| {
+            let text = std::str::from_utf8(chunk).expect("text");
+            format!("{:x}\r\n{text}\r\n", chunk.len())
+        });
+        let chunked = request("POST", "/safe/a", "t2")
+            .replace("Host:", "Transfer-Encoding: chunked\r\nHost:")
+            + &chunks.collect::<String>()
+            + "0\r\n\r\n";
+        for text in [upload("/safe/a", "t1", body.len()) + &body, chunked] {
+            let first = ScriptedUpstream::bind(&[UpstreamAction::Close]).await;
+            let second =
+                ScriptedUpstream::bind(&[UpstreamAction::Close, UpstreamAction::Answer("one")])
+                    .await;
+            let router = start_router(&[&first, &second]);
+
+            send_request(router.address, &text).await;
+
+            let attempts = [first.requests(), second.requests()].concat();
+            assert_eq!(attempts.len(), 2);
+            let is_whole = |attempt: &String| attempt.ends_with(&format!("\r\n\r\n{body}"));
+            assert!(attempts.iter().all(is_whole));
+        }
+    });
+}
+
+/// Guards against an evicted request that is sent to an upstream, or whose caller is not told that it was not.
+#[test]
+fn a_request_that_stops_short_is_rejected_when_another_needs_its_memory() {
+    run_local_test(async {
+        let upstream = ScriptedUpstream::bind(&[UpstreamAction::Answer("one")]).await;
+        let router = start_router(&[&upstream]);
+        bound(&router, 10);
+        let stalled = upload("/once/a", "t1", 1_000_000) + &varied_body(900_000);
+        let mut stalled = start_request(&router, &stalled).await;
+        sleep_ms(100).await;
+
+        let other = upload("/once/b", "t2", 300_000) + &varied_body(300_000);
+        let response = send_request(router.address, &other).await;
+        let rejection = read_answer(&mut stalled).await;
+
+        assert_eq!(status(&response), 200, "{response}");
+        assert_eq!(status(&rejection), 503, "{rejection}");
+        assert!(
+            header_field(&rejection, "Retry-After").is_some(),
+            "{rejection}"
+        );
+        assert_eq!(upstream.requests().len(), 1);
+    });
+}
+
+/// Guards against a full VM that is closed to new callers, while connections are open on which nothing happens.
+#[test]
+fn an_idle_connection_is_closed_for_a_new_one() {
+    run_local_test(async {
+        let upstream = ScriptedUpstream::bind(&[UpstreamAction::Answer("one")]).await;
+        let router = start_router(&[&upstream]);
+        bound(&router, 2);
+        let mut oldest = start_request(&router, "").await;
+        sleep_ms(20).await;
+        let _other = start_request(&router, "").await;
+        sleep_ms(20).await;
+
+        let response = send_request(router.address, &request("GET", "/safe/a", "t1")).await;
+        let end = oldest.read(&mut [0]).await;
+
+        assert_eq!(status(&response), 200, "{response}");
+        assert_eq!(end.expect("a closed connection"), 0);
+    });
+}
