Add expected work of requests and outstanding work at upstreams

The table counts requests in flight, so that an upstream with two requests of 5 s looks the same as one with two of 50 ms, and cheap requests wait behind expensive ones.

CostModel learns the work of requests by path, body length, route and service in bounded lists. UpstreamTable keeps the expected work of this VM's requests and of its peers' by upstream, and compares upstreams by the wait that follows for the services for which a mean work is set. Without one, the same numbers are calculated from counts as before.

--- a/crates/kumquat-coordination/src/fleet.rs
+++ b/crates/kumquat-coordination/src/fleet.rs
@@ -19,6 +19,7 @@
 mod split;
 mod table;
 mod waiting;
+mod work;
 
 pub use announcement::{
     AnnouncedLimits, Announcement, LIMIT_STEP_PER_S, LimitChange, ReportedLimit,
@@ -39,8 +40,12 @@
 pub use rate::{RateDecision, RateLimiter, RateUsage};
 pub use shutdown::deadline_during_shutdown;
 pub use split::WeightedRoundRobin;
-pub use table::{AttemptOutcome, Selection, UpstreamInstance, UpstreamLoad, UpstreamTable};
+pub use table::{
+    AttemptOutcome, FinishedWork, RequestWork, Selection, UpstreamInstance, UpstreamLoad,
+    UpstreamTable,
+};
 pub use waiting::{QueuedRequest, WaitQueue};
+pub use work::{Cost, CostModel, CostRouting, RequestKind, observed_work_s, slot_wait_s};
 
 /// Returns a position below `count` for a random number from 0 to 1.
 #[expect(
--- a/crates/kumquat-coordination/src/fleet/table.rs
+++ b/crates/kumquat-coordination/src/fleet/table.rs
@@ -13,8 +13,10 @@
 mod limits;
 mod notices;
 mod row;
+mod work;
 
 use row::{LATENCY_FACTOR_EWMA_WEIGHT, LOAD_TTL, MAX_WARMUP_VMS, Row, instance_id};
+pub use work::{FinishedWork, RequestWork};
 
 /// Age at which a peer's report of its in-flight requests is discarded; a peer reports several times a second.
 const PEER_REPORT_TTL: Duration = Duration::from_secs(1);
@@ -127,6 +129,8 @@
     received: Instant,
     // In-flight requests by the upstream's short id, sorted by it.
     in_flight: Vec<(u32, u32)>,
+    // Outstanding work in milliseconds by the upstream's short id, sorted by it; upstreams may be missing.
+    work_ms: Vec<(u32, u32)>,
 }
 
 /// Upstreams sorted by name, with the state from which this VM selects one for a request.
@@ -142,6 +146,10 @@
     vm_position: u32,
     announced_limits: AnnouncedLimits,
     request_limiter: RateLimiter,
+    // Mean work in seconds of a request of each service that is routed by cost, sorted by service.
+    mean_works_s: Vec<(Arc<str>, f64)>,
+    // Work of the request for which an upstream is being selected.
+    request_work: Option<RequestWork>,
 }
 
 impl UpstreamTable {
@@ -348,6 +356,7 @@
             vm: peer,
             received: now,
             in_flight,
+            work_ms: Vec::new(),
         };
         match self
             .peer_reports
@@ -438,8 +447,8 @@
             let row = &self.rows[index];
             let is_local = self.local_data_centre.as_ref() == Some(&row.upstream.data_centre);
             let remote_cost = if is_local { 0.0 } else { REMOTE_COST_FRACTION };
-            let cost =
-                row.cost(now, in_flight) * (1.0 + remote_cost + COST_NOISE_FRACTION * noise());
+            let cost = self.cost(now, index, in_flight)
+                * (1.0 + remote_cost + COST_NOISE_FRACTION * noise());
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, index));
             }
@@ -529,6 +538,7 @@
 
     /// Counts a request as in flight at the upstream, and against its warm-up limit.
     fn reserve(&mut self, now: Instant, index: usize) -> Selection {
+        self.reserve_work(now, index);
         let row = &mut self.rows[index];
         if row.is_warming_up(now) {
             row.warmup_bucket.force_acquire(now);
--- a/crates/kumquat-coordination/src/fleet/table/row.rs
+++ b/crates/kumquat-coordination/src/fleet/table/row.rs
@@ -7,6 +7,7 @@
 
 use super::{AttemptOutcome, UpstreamInstance, UpstreamLoad};
 use crate::fleet::TokenBucket;
+use crate::fleet::work::{Reservation, slot_wait_s};
 
 /// Age at which an upstream's reported load is ignored; its figures change many times a second.
 pub(super) const LOAD_TTL: Duration = Duration::from_millis(150);
@@ -54,6 +55,8 @@
     pub(super) id: u32,
     // Requests that this VM has in flight at the upstream.
     pub(super) own_in_flight: u32,
+    // Work of those among them whose cost is known, in the order of their selection.
+    pub(super) reservations: Vec<Reservation>,
     // Short-term moving average of the latency relative to the route's mean; 1.0 is the mean.
     pub(super) relative_latency: f64,
     pub(super) latency_updated: Instant,
@@ -90,6 +93,7 @@
             upstream,
             id,
             own_in_flight: 0,
+            reservations: Vec::new(),
             relative_latency: 1.0,
             latency_updated: now,
             latency_factor: 1.0,
@@ -131,25 +135,46 @@
                 .saturating_add(1)
                 .saturating_sub(self.upstream.slots),
         );
-        let service_time_factor = match self.load {
-            Some((load, at)) if now.saturating_since(at) < LOAD_TTL => {
-                load.service_time_factor.max(0.1)
-            }
-            _ => 1.0,
-        };
+        self.weighted_cost(now, f64::from(in_flight), queued / slots)
+    }
+
+    /// Returns the expected response time of a request relative to its work of `work_s`, given the remaining work of the
+    /// requests in flight at the upstream, those in its queue last.
+    pub(super) fn cost_by_work(&self, now: Instant, work_s: f64, remaining: &[f64]) -> f64 {
+        // A request in another slot slows this one down only while both run.
+        let concurrent: f64 = remaining.iter().map(|other| other.min(work_s)).sum();
+        let wait_s = slot_wait_s(self.upstream.slots, remaining);
+        self.weighted_cost(now, concurrent / work_s, wait_s / work_s)
+    }
+
+    /// Returns the expected response time relative to the usual service time, given the requests that run concurrently and
+    /// the wait for a slot, relative to that time.
+    fn weighted_cost(&self, now: Instant, concurrent: f64, relative_wait: f64) -> f64 {
+        let slots = f64::from(self.upstream.slots.max(1));
+        let service_time_factor = self.service_time_factor(now);
         let warmup_factor = if self.is_warming_up(now) { 2.0 } else { 1.0 };
         let latency = 1.0 + (self.relative_latency - 1.0) * decay(now, self.latency_updated);
         let failure_rate = self.failure_rate * decay(now, self.failure_rate_updated);
         // Requests in other slots slow down one in a free slot, as they share the upstream's machine.
-        let contention = 1.0 + 0.1 * f64::from(in_flight) / slots;
+        let contention = 1.0 + 0.1 * concurrent / slots;
         latency
             * service_time_factor
             * warmup_factor
             * contention
-            * (1.0 + queued / slots)
+            * (1.0 + relative_wait)
             * (1.0 + FAILURE_COST_WEIGHT * failure_rate)
     }
 
+    /// Returns the service time factor that the upstream reported last, or 1 if that is too long ago.
+    pub(super) fn service_time_factor(&self, now: Instant) -> f64 {
+        match self.load {
+            Some((load, at)) if now.saturating_since(at) < LOAD_TTL => {
+                load.service_time_factor.max(0.1)
+            }
+            _ => 1.0,
+        }
+    }
+
     pub(super) fn record_outcome(&mut self, now: Instant, outcome: AttemptOutcome) {
         let failed = match outcome {
             AttemptOutcome::Completed { .. } => 0.0,
