Route requests by their expected cost

A VM compared upstreams by counts of requests in flight, whatever these requests cost, and admitted queued requests by the mean latency of their route.

The cost of a request is determined when it is resolved, its reservation at the upstream carries it, and its completion trains the model. Services whose work varies are compared by outstanding work, which also gives the wait at admission. Reports carry it in the optional field `o`.

The test of the report's round trip in messages.rs got the new field, as it names every field; no other existing test was changed.

--- a/crates/kumquat-coordination/src/fleet/table/work.rs
+++ b/crates/kumquat-coordination/src/fleet/table/work.rs
@@ -30,6 +30,8 @@
     pub queue_s: f64,
     /// Long-term latency of the upstream relative to the others.
     pub latency_factor: f64,
+    /// Service time of the upstream relative to the usual one when it was selected, the latency factor included.
+    pub speed_factor: f64,
 }
 
 impl UpstreamTable {
@@ -67,6 +69,17 @@
         position.ok().map(|position| self.mean_works_s[position].1)
     }
 
+    /// Routes the services by count that the desired state no longer contains.
+    pub fn retain_mean_works(&mut self, is_service: impl Fn(&str) -> bool) {
+        self.mean_works_s.retain(|(service, _)| is_service(service));
+    }
+
+    /// Returns the number of services that are routed by cost.
+    #[must_use]
+    pub const fn cost_routed_services(&self) -> usize {
+        self.mean_works_s.len()
+    }
+
     /// Selects an upstream as [`UpstreamTable::select`] does, for a request with this work, if it is known.
     pub fn select_with_work(
         &mut self,
@@ -105,6 +118,7 @@
         Some(FinishedWork {
             queue_s: reservation.queue_s,
             latency_factor: row.latency_factor,
+            speed_factor: reservation.speed_factor,
         })
     }
 
--- a/crates/kumquat-router/src/gateway.rs
+++ b/crates/kumquat-router/src/gateway.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquat_coordination::fleet::{Fingerprint, RateDecision, deadline_during_shutdown};
+use kumquat_coordination::fleet::{Cost, Fingerprint, RateDecision, deadline_during_shutdown};
 use kumquat_state::clock::{self, Instant};
 
 use crate::access_log::AccessLogEntry;
@@ -129,6 +129,8 @@
     /// Lower values are served first.
     priority: u32,
     target: Target,
+    /// Expected cost, if costs are learned.
+    cost: Option<Cost>,
     received: &'a ReceivedRequest,
     /// Id that the caller gave this attempt.
     attempt_id: &'a str,
@@ -299,6 +301,7 @@
     if is_keyed && key.is_none() {
         return reject(400, "no key number");
     }
+    let cost = vm.request_cost(route, &service, received.head.path(), received.body.len());
     let request = ResolvedRequest {
         vm,
         route,
@@ -310,6 +313,7 @@
             service,
             key: key.filter(|_| is_keyed),
         },
+        cost,
         received,
         attempt_id,
         deadline,
@@ -462,6 +466,7 @@
             max_wait: self.route.latency_target.mul_f64(MAX_QUEUE_WAIT_FRACTION),
             send_deadline,
             mean_latency: mean,
+            cost: self.cost,
         };
         let excluded = if self.target.key.is_some() {
             &[]
--- a/crates/kumquat-router/src/gateway/attempt.rs
+++ b/crates/kumquat-router/src/gateway/attempt.rs
@@ -25,7 +25,7 @@
     /// `placed` is released with the outcome, or handed to the response stream if the body is still arriving.
     pub(super) async fn attempt(
         &self,
-        placed: SlotPermit,
+        mut placed: SlotPermit,
         progress: &mut RequestProgress,
     ) -> Action {
         let upstream_name = Arc::clone(&placed.upstream.name);
@@ -61,6 +61,7 @@
         }
         let bytes = self.encode_request(&placed, remaining);
         let started = clock::now();
+        placed.mark_sent(started);
         let kind = if progress.sent_count == 0 {
             "request"
         } else {
@@ -107,8 +108,10 @@
         wire: HttpConnection,
         progress: &mut RequestProgress,
     ) -> Action {
-        let relative_latency =
-            latency.as_secs_f64() / self.vm.mean_latency(self.route).as_secs_f64().max(0.001);
+        let usual_latency = self
+            .vm
+            .usual_latency(self.route, &self.target.service, self.cost);
+        let relative_latency = latency.as_secs_f64() / usual_latency.as_secs_f64().max(0.001);
         let response = match result {
             Ok(Ok(response)) => response,
             Ok(Err(error)) => {
--- a/crates/kumquat-router/src/metrics.rs
+++ b/crates/kumquat-router/src/metrics.rs
@@ -1,8 +1,8 @@
 //! The `metrics` module provides the Prometheus metrics of a VM.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the histogram buckets, spaced for deadlines between a tenth of a second and a few seconds.
@@ -10,6 +10,9 @@
     0.01, 0.02, 0.04, 0.07, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0,
 ];
 
+/// Upper bounds of the histogram buckets for ratios of observed to expected values.
+const RATIO_BUCKETS: [f64; 9] = [0.1, 0.25, 0.5, 0.8, 1.25, 2.0, 4.0, 10.0, 50.0];
+
 /// Metrics of a VM; clones share the same registry.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -48,6 +51,8 @@
     pub queue_wait: Histogram,
     /// Requests in the queue for an upstream.
     pub queued_requests: IntGauge,
+    /// Expected and outstanding work of requests.
+    pub work: WorkMetrics,
     /// Open connections from callers.
     pub caller_connections: IntGauge,
     /// Time by which timers of the event loop fire late, in seconds.
@@ -64,7 +69,7 @@
         let registry = Registry::new();
         let registrar = Registrar(&registry);
         let counter = |name, help, labels| registrar.counter(name, help, labels);
-        let histogram = |name, help| registrar.histogram(name, help);
+        let histogram = |name, help| registrar.histogram(name, help, &DURATION_BUCKETS_S);
         let total = |name, help| registrar.total(name, help);
         let gauge = |name, help| registrar.gauge(name, help);
         Ok(Self {
@@ -145,6 +150,7 @@
                 "kumquat_vm_waiting_requests",
                 "Requests that wait for room.",
             )?,
+            work: WorkMetrics::new(&registrar)?,
             caller_connections: gauge(
                 "kumquat_vm_caller_connections",
                 "Open connections of callers.",
@@ -168,6 +174,38 @@
     }
 }
 
+/// Metrics of the expected work of requests.
+#[derive(Clone, Debug)]
+pub struct WorkMetrics {
+    /// Observed work of completed requests relative to the expected work.
+    pub ratio: Histogram,
+    /// Expected remaining work of this VM's requests at upstreams in seconds, by service.
+    pub outstanding: GaugeVec,
+    /// Services whose requests are routed by their expected cost.
+    pub cost_routed_services: IntGauge,
+}
+
+impl WorkMetrics {
+    fn new(registrar: &Registrar<'_>) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            ratio: registrar.histogram(
+                "kumquat_vm_work_ratio",
+                "Observed work of a request relative to the expected work.",
+                &RATIO_BUCKETS,
+            )?,
+            outstanding: registrar.float_gauge(
+                "kumquat_vm_outstanding_work_seconds",
+                "Expected remaining work of requests at upstreams.",
+                &["service"],
+            )?,
+            cost_routed_services: registrar.gauge(
+                "kumquat_vm_cost_routed_services",
+                "Services whose requests are routed by their expected cost.",
+            )?,
+        })
+    }
+}
+
 /// Creates metrics and registers them.
 #[derive(Debug)]
 struct Registrar<'a>(&'a Registry);
@@ -184,8 +222,13 @@
         Ok(counter)
     }
 
-    fn histogram(&self, name: &str, help: &str) -> Result<Histogram, prometheus::Error> {
-        let options = HistogramOpts::new(name, help).buckets(DURATION_BUCKETS_S.to_vec());
+    fn histogram(
+        &self,
+        name: &str,
+        help: &str,
+        buckets: &[f64],
+    ) -> Result<Histogram, prometheus::Error> {
+        let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
         let histogram = Histogram::with_opts(options)?;
         self.0.register(Box::new(histogram.clone()))?;
         Ok(histogram)
@@ -197,6 +240,17 @@
         Ok(counter)
     }
 
+    fn float_gauge(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> Result<GaugeVec, prometheus::Error> {
+        let gauge = GaugeVec::new(Opts::new(name, help), labels)?;
+        self.0.register(Box::new(gauge.clone()))?;
+        Ok(gauge)
+    }
+
     fn gauge(&self, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
         let gauge = IntGauge::new(name, help)?;
         self.0.register(Box::new(gauge.clone()))?;
--- a/crates/kumquat-router/src/peers.rs
+++ b/crates/kumquat-router/src/peers.rs
@@ -54,6 +54,10 @@
     /// In-flight requests: short id of the upstream and count, alternating.
     #[serde(rename = "r", default)]
     pub in_flight: Vec<u32>,
+    /// Outstanding work of these requests: short id of the upstream and milliseconds, alternating; upstreams may be
+    /// missing, and all are if the sender does not route by cost.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub outstanding_work: Vec<u32>,
     /// Use of the teams' rates: the five numbers of each [`RateUsage`] in field order; present in full reports.
     #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
     pub team_usages: Option<Vec<u32>>,
@@ -232,13 +236,14 @@
             self.vm.record_helper_offer(report.sender, offer);
         }
         let in_flight = pairs(&report.in_flight);
+        let work_ms = pairs(&report.outstanding_work);
         let usage = report.team_usages.map(|teams| PeerUsage {
             teams: decode_usages(&teams),
             upstreams: decode_usages(&report.limit_usages),
             limits: decode_limits(&report.request_limits),
         });
         self.vm
-            .apply_peer_report(report.sender, &in_flight, usage.as_ref());
+            .apply_peer_report(report.sender, &in_flight, &work_ms, usage.as_ref());
     }
 
     /// Forwards the report of a VM of another data centre to the peers of this VM's data centre.
@@ -327,7 +332,8 @@
             let mut report = Report {
                 sender: self.vm.identity.incarnation,
                 sequence,
-                in_flight: in_flight.iter().flat_map(|pair| [pair.0, pair.1]).collect(),
+                in_flight: flat(&in_flight),
+                outstanding_work: flat(&self.vm.outstanding_work()),
                 ..Report::default()
             };
             if is_full {
@@ -467,6 +473,10 @@
     limits.collect()
 }
 
+fn flat(pairs: &[(u32, u32)]) -> Vec<u32> {
+    pairs.iter().flat_map(|pair| [pair.0, pair.1]).collect()
+}
+
 fn pairs(flat: &[u32]) -> Vec<(u32, u32)> {
     let pairs = flat.chunks_exact(2);
     pairs.map(|pair| (pair[0], pair[1])).collect()
--- a/crates/kumquat-router/src/vm.rs
+++ b/crates/kumquat-router/src/vm.rs
@@ -27,6 +27,7 @@
 mod quarantine;
 mod reports;
 mod state;
+mod work;
 
 pub use helpers::HelperPermit;
 pub use place::{QueueParams, SlotError, SlotPermit, Target};
@@ -162,7 +163,9 @@
             .map(|team| (short_id(&team.name), team.rate_per_s, team.burst))
             .collect();
         state.rate_limiter.set_limits(now, &limits);
-        state.config = Some(Rc::new(config));
+        let config = Rc::new(config);
+        state.retain_costs(&config);
+        state.config = Some(config);
         state.refresh_warmup_rates(now);
         drop(state);
         self.dispatch_queued();
@@ -559,6 +562,7 @@
             if clock::now().saturating_since(last_sweep) >= POOL_SWEEP_INTERVAL {
                 last_sweep = clock::now();
                 self.pool.borrow_mut().close_expired();
+                self.update_work_metrics();
             }
         }
     }
--- a/crates/kumquat-router/src/vm/place.rs
+++ b/crates/kumquat-router/src/vm/place.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use kumquat_coordination::fleet::{
-    AttemptOutcome, QueuedRequest, Selection, UpstreamInstance, UpstreamLoad,
+    AttemptOutcome, Cost, QueuedRequest, RequestWork, Selection, UpstreamInstance, UpstreamLoad,
 };
 use kumquat_state::clock::{self, Instant};
 use tokio::sync::oneshot;
 
 use super::Vm;
 use super::state::Waiter;
+use super::work::PlacedWork;
 
 /// The upstreams that may run a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -28,24 +29,35 @@
     vm: Rc<Vm>,
     /// Upstream in whose slot the request runs.
     pub upstream: UpstreamInstance,
+    // Work that the request is expected to cause, if that is known.
+    work: Option<PlacedWork>,
     is_completed: bool,
 }
 
 impl SlotPermit {
+    /// Records that the request is being sent; the work is measured from then on.
+    pub const fn mark_sent(&mut self, now: Instant) {
+        if let Some(work) = &mut self.work {
+            work.sent_at = Some(now);
+        }
+    }
+
     /// Releases the slot and records the outcome of the attempt and the load that the upstream reported.
     ///
     /// Dropping the permit instead records that the caller disconnected.
     pub fn complete(mut self, outcome: AttemptOutcome, load: Option<UpstreamLoad>) {
         self.is_completed = true;
-        self.vm.release_slot(&self.upstream, outcome, load);
+        self.vm
+            .release_slot(&self.upstream, self.work, outcome, load);
     }
 }
 
 impl Drop for SlotPermit {
     fn drop(&mut self) {
         if !self.is_completed {
+            let outcome = AttemptOutcome::CallerDisconnected;
             self.vm
-                .release_slot(&self.upstream, AttemptOutcome::CallerDisconnected, None);
+                .release_slot(&self.upstream, self.work, outcome, None);
         }
     }
 }
@@ -82,6 +94,8 @@
     pub send_deadline: Instant,
     /// Mean latency of the route, from which the wait is estimated.
     pub mean_latency: Duration,
+    /// Expected cost of the request, if it is known.
+    pub cost: Option<Cost>,
 }
 
 impl Vm {
@@ -103,8 +117,11 @@
             let now = clock::now();
             let ahead = state.queue.count_ahead(&target.service, params.priority);
             if target.key.is_some() || ahead == 0 {
-                match state.select(now, target, tried) {
-                    Selection::Selected(upstream) => return Ok(self.permit(upstream)),
+                let work = state.next_work(params.cost);
+                match state.select(now, target, tried, work) {
+                    Selection::Selected(upstream) => {
+                        return Ok(self.permit(upstream, placed_work(work, params.cost)));
+                    }
                     Selection::NoneEligible => return Err(SlotError::NoUpstream),
                     Selection::OverLimit { upstream, wait } => {
                         return Err(SlotError::OverLimit { upstream, wait });
@@ -112,7 +129,8 @@
                     Selection::Busy => {}
                 }
             }
-            let wait = state.expected_wait(now, target, ahead, params.mean_latency);
+            let ahead_work_s = state.queued_work_s(&target.service, params.priority);
+            let wait = state.expected_wait(now, target, ahead, ahead_work_s, params.mean_latency);
             if now + wait > params.send_deadline || wait > params.max_wait {
                 return Err(SlotError::Busy {
                     wait_s: wait.as_secs_f64(),
@@ -132,6 +150,8 @@
                 id,
                 target: target.clone(),
                 tried: tried.to_vec(),
+                priority: params.priority,
+                cost: params.cost,
                 permit_sender: sender,
             });
             (id, receiver)
@@ -145,7 +165,8 @@
             // The waiter was dropped: the request expired or can no longer be sent.
             Err(_dropped) => {
                 let state = self.state.borrow();
-                let wait = state.expected_wait(clock::now(), target, 0, params.mean_latency);
+                let mean_latency = params.mean_latency;
+                let wait = state.expected_wait(clock::now(), target, 0, Some(0.0), mean_latency);
                 Err(SlotError::Busy {
                     wait_s: wait.max(params.mean_latency).as_secs_f64(),
                 })
@@ -153,10 +174,11 @@
         }
     }
 
-    fn permit(self: &Rc<Self>, upstream: UpstreamInstance) -> SlotPermit {
+    fn permit(self: &Rc<Self>, upstream: UpstreamInstance, work: Option<PlacedWork>) -> SlotPermit {
         SlotPermit {
             vm: Rc::clone(self),
             upstream,
+            work,
             is_completed: false,
         }
     }
@@ -164,10 +186,14 @@
     fn release_slot(
         self: &Rc<Self>,
         upstream: &UpstreamInstance,
+        work: Option<PlacedWork>,
         outcome: AttemptOutcome,
         load: Option<UpstreamLoad>,
     ) {
         let mut state = self.state.borrow_mut();
+        if let Some(work) = work {
+            self.finish_work(&mut state, upstream, work, outcome, load);
+        }
         state.table.record_outcome(
             clock::now(),
             &upstream.name,
@@ -205,11 +231,14 @@
                 };
                 let target = state.waiters[position].target.clone();
                 let tried = state.waiters[position].tried.clone();
-                match state.select(now, &target, &tried) {
+                let cost = state.waiters[position].cost;
+                let work = state.next_work(cost);
+                match state.select(now, &target, &tried, work) {
                     Selection::Selected(upstream) => {
                         let waiter = state.waiters.swap_remove(position);
                         state.queue.remove(id);
-                        dispatched.push((waiter.permit_sender, upstream));
+                        let work = placed_work(work, cost);
+                        dispatched.push((waiter.permit_sender, upstream, work));
                     }
                     Selection::OverLimit { upstream, wait } => {
                         let waiter = state.waiters.swap_remove(position);
@@ -229,13 +258,21 @@
             let queue_length = i64::try_from(state.queue.requests().len()).unwrap_or(i64::MAX);
             self.metrics.queued_requests.set(queue_length);
         };
-        for (permit_sender, upstream) in dispatched {
+        for (permit_sender, upstream, work) in dispatched {
             // If the receiver is gone, the unsent permit is dropped, which releases the slot.
-            drop(permit_sender.send(Ok(self.permit(upstream))));
+            drop(permit_sender.send(Ok(self.permit(upstream, work))));
         }
     }
 }
 
+fn placed_work(work: Option<RequestWork>, cost: Option<Cost>) -> Option<PlacedWork> {
+    Some(PlacedWork {
+        id: work?.id,
+        cost: cost?,
+        sent_at: None,
+    })
+}
+
 /// Removes a request from the queue when its wait ends or is cancelled.
 #[derive(Debug)]
 struct WaitGuard {
--- a/crates/kumquat-router/src/vm/reports.rs
+++ b/crates/kumquat-router/src/vm/reports.rs
@@ -21,17 +21,20 @@
 impl Vm {
     /// Applies a peer's report of its in-flight requests and, if it is a full report, of its use of rates and limits.
     ///
-    /// `peer` is the incarnation of the sender; `in_flight` holds short ids of upstreams with counts.
+    /// `peer` is the incarnation of the sender; `in_flight` holds short ids of upstreams with counts, `work_ms` such with
+    /// the outstanding work of these requests in milliseconds.
     pub fn apply_peer_report(
         self: &Rc<Self>,
         peer: u64,
         in_flight: &[(u32, u32)],
+        work_ms: &[(u32, u32)],
         usage: Option<&PeerUsage>,
     ) {
         let now = clock::now();
         let mut state = self.state.borrow_mut();
         state.membership.record_report(now, peer);
         state.table.record_peer_report(now, peer, in_flight);
+        state.table.record_peer_work(peer, work_ms);
         let mut limit_changes = Vec::new();
         if let Some(usage) = usage {
             state.rate_limiter.apply_report(now, peer, &usage.teams);
--- a/crates/kumquat-router/src/vm/state.rs
+++ b/crates/kumquat-router/src/vm/state.rs
@@ -7,8 +7,9 @@
 use std::time::Duration;
 
 use kumquat_coordination::fleet::{
-    HelperTable, Membership, OwnershipMap, PathMonitor, Peer, Quarantine, RateLimiter, RetryBudget,
-    Selection, UpstreamInstance, UpstreamTable, WaitQueue, WeightedRoundRobin,
+    Cost, CostModel, CostRouting, HelperTable, Membership, OwnershipMap, PathMonitor, Peer,
+    Quarantine, RateLimiter, RequestWork, RetryBudget, Selection, UpstreamInstance, UpstreamTable,
+    WaitQueue, WeightedRoundRobin,
 };
 use kumquat_state::clock::Instant;
 use rand::RngExt as _;
@@ -57,6 +58,9 @@
     // One entry for each request in `queue`, in no order.
     pub(super) waiters: Vec<Waiter>,
     pub(super) next_waiter_id: u64,
+    pub(super) cost_routing: CostRouting,
+    pub(super) cost_model: CostModel,
+    pub(super) next_work_id: u64,
     // Keys requested since the last report, by service.
     pub(super) requested_keys: Vec<(Arc<str>, u16)>,
     // Upstreams that were removed from the registry, the most recent last.
@@ -79,6 +83,9 @@
     pub(super) id: u64,
     pub(super) target: Target,
     pub(super) tried: Vec<Arc<str>>,
+    pub(super) priority: u32,
+    // Expected cost, if it is known.
+    pub(super) cost: Option<Cost>,
     pub(super) permit_sender: oneshot::Sender<Result<SlotPermit, SlotError>>,
 }
 
@@ -105,11 +112,12 @@
         now: Instant,
         target: &Target,
         tried: &[Arc<str>],
+        work: Option<RequestWork>,
     ) -> Selection {
         let Some(key) = target.key else {
             return self
                 .table
-                .select(now, &target.service, tried, || rand::rng().random());
+                .select_with_work(now, &target.service, tried, work, || rand::rng().random());
         };
         match self
             .ownership_map(&target.service)
@@ -121,7 +129,9 @@
             {
                 let owner = range.owner.clone();
                 let token = range.fencing_token;
-                let selection = self.table.select_owner(now, &owner.name, owner.incarnation);
+                let selection =
+                    self.table
+                        .select_owner_with_work(now, &owner.name, owner.incarnation, work);
                 self.record_owner_availability(
                     now,
                     target,
@@ -244,8 +254,15 @@
         let slots = upstream.map_or(1, |upstream| upstream.slots.max(1));
         let in_flight = self.table.in_flight_at(now, &owner);
         // Requests queued at other VMs are unknown and not counted; each VM gets its turn at the owner.
-        let queued = u32::try_from(ahead.count()).unwrap_or(u32::MAX);
-        let queued = queued.saturating_add(in_flight.saturating_sub(slots));
+        let mean_work_s = self.table.mean_work_s(&target.service);
+        let work_of = |waiter: &Waiter| {
+            let work_s = waiter.cost.map(|cost| cost.work_s);
+            work_s.or(mean_work_s).unwrap_or_default()
+        };
+        let (waiting, waiting_work_s) = ahead.fold((0_u32, 0.0), |(count, work_s), waiter| {
+            (count.saturating_add(1), work_s + work_of(waiter))
+        });
+        let queued = waiting.saturating_add(in_flight.saturating_sub(slots));
         let latency_factor = self.table.latency_factor(&owner);
         let backoff = upstream.map_or(Duration::ZERO, |upstream| {
             now.until(
@@ -256,16 +273,25 @@
         let limit_wait = upstream.map_or(Duration::ZERO, |upstream| {
             self.table.limit_wait(upstream, queued)
         });
-        let slot_wait = mean_latency.mul_f64(f64::from(queued) * latency_factor / f64::from(slots));
+        let slot_wait = match self.table.slot_wait(now, &owner) {
+            Some(slot_wait) => {
+                let queue_wait_s = waiting_work_s * latency_factor / f64::from(slots);
+                slot_wait.saturating_add(to_duration(queue_wait_s))
+            }
+            None => mean_latency.mul_f64(f64::from(queued) * latency_factor / f64::from(slots)),
+        };
         backoff + slot_wait.max(limit_wait)
     }
 
     /// Estimates the wait of a new request behind `ahead` queued ones, if this VM gets an equal share of the slots.
+    ///
+    /// `ahead_work_s` is the expected work of those if the service is routed by cost.
     pub(super) fn expected_wait(
         &self,
         now: Instant,
         target: &Target,
         ahead: usize,
+        ahead_work_s: Option<f64>,
         mean_latency: Duration,
     ) -> Duration {
         if let Some(key) = target.key {
@@ -276,6 +302,11 @@
         let slots = slots.max(MIN_TOTAL_SLOTS) / f64::from(vms);
         let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
         let backoff = self.table.remaining_backoff(now, &target.service);
+        let room_wait = self.table.room_wait(now, &target.service);
+        if let (Some(room_wait), Some(ahead_work_s)) = (room_wait, ahead_work_s) {
+            let queue_wait = to_duration(ahead_work_s / slots);
+            return backoff.saturating_add(room_wait).saturating_add(queue_wait);
+        }
         backoff + mean_latency.mul_f64(f64::from(ahead) / slots)
     }
 
@@ -297,6 +328,11 @@
     }
 }
 
+/// Converts seconds to a duration; values that are no valid duration give the longest one.
+fn to_duration(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
+
 /// Returns the rate, in requests a second, that an upstream of a service may receive while it warms up.
 ///
 /// Without a limit in the desired state it is unlimited.
--- a/crates/kumquat-router/tests/messages.rs
+++ b/crates/kumquat-router/tests/messages.rs
@@ -238,6 +238,7 @@
         sequence: 3,
         forward: true,
         in_flight: vec![1, 2],
+        outstanding_work: vec![1, 5_000],
         team_usages: Some(vec![5, 60, 50, 3, 2]),
         limit_usages: vec![8, 6, 2, 1, 1],
         request_limits: vec![(8, Some(2_500), 40), (9, None, 3_000)],
