Move a service's requests to another version in steps

Operators had no way to move a service's requests to upstreams of another version with a check of that version: all upstreams of a service were used alike. An order in the store now makes the coordinator raise the share of the new version in steps, compare its responses with those of the old ones from counts of all VMs, and write a verdict.

--- a/crates/kumquat-coordination/src/fleet.rs
+++ b/crates/kumquat-coordination/src/fleet.rs
@@ -15,6 +15,7 @@
 mod quarantine;
 mod rate;
 pub mod reports;
+pub mod rollout;
 mod shutdown;
 mod split;
 mod table;
--- a/crates/kumquat-coordination/src/fleet/table.rs
+++ b/crates/kumquat-coordination/src/fleet/table.rs
@@ -8,10 +8,12 @@
 
 use kumquat_state::clock::Instant;
 
+use super::rollout::{Gates, Side};
 use super::{AnnouncedLimits, RateLimiter, random_index};
 
 mod limits;
 mod notices;
+mod rollout;
 mod row;
 
 use row::{LATENCY_FACTOR_EWMA_WEIGHT, LOAD_TTL, MAX_WARMUP_VMS, Row, instance_id};
@@ -46,6 +48,8 @@
     pub incarnation: u64,
     /// Service whose requests it handles.
     pub service: Arc<str>,
+    /// Version of the service that it runs; empty if its entry states none.
+    pub version: Arc<str>,
     /// Data centre in which it runs; it gets no requests while that is closed.
     pub data_centre: Arc<str>,
     /// Address at which it listens for HTTP requests.
@@ -142,6 +146,7 @@
     vm_position: u32,
     announced_limits: AnnouncedLimits,
     request_limiter: RateLimiter,
+    gates: Gates,
 }
 
 impl UpstreamTable {
@@ -260,6 +265,9 @@
         let data_centre = &row.upstream.data_centre;
         !row.upstream.is_draining
             && !row.is_drain_announced
+            && !self
+                .gates
+                .is_barred(&row.upstream.service, &row.upstream.version)
             && self.closed_data_centres.binary_search(data_centre).is_err()
     }
 
@@ -365,22 +373,19 @@
         used.map(|row| (row.id, row.own_in_flight)).collect()
     }
 
-    /// Selects the upstream with the lowest expected response time.
-    ///
-    /// `tried` names the upstreams that the request has been sent to before. `noise` returns random numbers from 0 to
-    /// 1, which keep VMs with the same reports from selecting the same upstream.
-    pub fn select(
+    /// Selects the upstream with the lowest expected response time on a side of the service's rollout.
+    fn select_on(
         &mut self,
         now: Instant,
         service: &str,
         tried: &[Arc<str>],
-        noise: impl Fn() -> f64,
+        side: Option<Side>,
+        noise: &impl Fn() -> f64,
     ) -> Selection {
-        self.expire_peer_reports(now);
         let mut over_limit = Vec::new();
         let mut first_allowed: Option<(Duration, usize)> = None;
         loop {
-            let scan = self.scan(now, service, tried, &over_limit, &noise);
+            let scan = self.scan(now, service, tried, &over_limit, side, noise);
             let Some(index) = scan.best else {
                 return match first_allowed {
                     Some((wait, index)) if !scan.has_busy => self.over_limit(index, wait),
@@ -412,6 +417,7 @@
         service: &str,
         tried: &[Arc<str>],
         over_limit: &[usize],
+        side: Option<Side>,
         noise: impl Fn() -> f64,
     ) -> Scan {
         let candidate_probability = self.candidate_probability(service);
@@ -424,6 +430,9 @@
             if &*row.upstream.service != service || !self.is_eligible(row) {
                 continue;
             }
+            if !self.is_on_side(row, side) {
+                continue;
+            }
             if tried.contains(&row.upstream.name) || over_limit.contains(&index) {
                 continue;
             }
@@ -534,7 +543,10 @@
             row.warmup_bucket.force_acquire(now);
         }
         row.own_in_flight += 1;
-        Selection::Selected(row.upstream.clone())
+        let upstream = row.upstream.clone();
+        self.gates
+            .record_sent(now, &upstream.service, &upstream.version);
+        Selection::Selected(upstream)
     }
 
     /// Returns the requests of all VMs in flight at the upstream, by this VM, its peers and the upstream's own report.
--- a/crates/kumquat-coordination/tests/fleet_limits.rs
+++ b/crates/kumquat-coordination/tests/fleet_limits.rs
@@ -40,6 +40,7 @@
         name: Arc::from(name),
         incarnation: 1,
         service: Arc::from(SERVICE),
+        version: Arc::from(""),
         data_centre: Arc::from("dc-a"),
         address: "127.0.0.1:1".parse().expect("an address"),
         slots: 200,
--- a/crates/kumquat-coordination/tests/fleet_table.rs
+++ b/crates/kumquat-coordination/tests/fleet_table.rs
@@ -20,6 +20,7 @@
         name: Arc::from(name),
         incarnation: 1,
         service: Arc::from(SERVICE),
+        version: Arc::from(""),
         data_centre: Arc::from(data_centre),
         address: "127.0.0.1:1".parse().expect("an address"),
         slots: 2,
--- a/crates/kumquat-router/src/coordination.rs
+++ b/crates/kumquat-router/src/coordination.rs
@@ -302,7 +302,7 @@
 
     fn members(&self, now: Instant, service: &str) -> Vec<Member> {
         let upstreams = self.vm.upstreams(service);
-        upstreams
+        let members = upstreams
             .into_iter()
             .map(|(upstream, warmup_until, accepts_requests)| Member {
                 holder: Holder {
@@ -315,8 +315,10 @@
                 is_warm: warmup_until <= now,
                 capacity: f64::from(upstream.slots.max(1)) / self.vm.latency_factor(&upstream.name),
                 max_requests_per_s: self.vm.placement_limit(&upstream),
-            })
-            .collect()
+            });
+        let mut members: Vec<Member> = members.collect();
+        self.vm.limit_rollout_members(now, service, &mut members);
+        members
     }
 
     fn execute(self: &Rc<Self>, service: &Arc<str>, base_fencing_token: u64, action: Action) {
--- a/crates/kumquat-router/src/gateway/attempt.rs
+++ b/crates/kumquat-router/src/gateway/attempt.rs
@@ -25,9 +25,10 @@
     /// `placed` is released with the outcome, or handed to the response stream if the body is still arriving.
     pub(super) async fn attempt(
         &self,
-        placed: SlotPermit,
+        mut placed: SlotPermit,
         progress: &mut RequestProgress,
     ) -> Action {
+        placed.set_route(&self.route.name);
         let upstream_name = Arc::clone(&placed.upstream.name);
         let address = placed.upstream.address;
         progress.tried_upstreams.push(Arc::clone(&upstream_name));
--- a/crates/kumquat-router/src/peers.rs
+++ b/crates/kumquat-router/src/peers.rs
@@ -18,6 +18,7 @@
 use crate::vm::{Peer, PeerUsage, Vm, short_id};
 
 mod quarantine;
+mod rollout;
 mod senders;
 
 pub use senders::{Order, Senders};
@@ -37,6 +38,13 @@
 /// Maximum number of relative latencies in one datagram, which has room for the keys beside them.
 const MAX_REPORTED_LATENCIES: usize = 384;
 
+/// Interval at which a VM tells the coordinator of the responses of a service's versions while there is an order.
+const OBSERVATION_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Short id of the service, revision of the order, applied share in thousandths, requests in flight at old versions, and
+/// the counts by route.
+pub type EncodedObservation = (u32, u64, u32, u32, Vec<u32>);
+
 /// A report in its CBOR encoding, with one-letter field names to keep datagrams small.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -93,6 +101,9 @@
     /// Requested keys by the short id of the service; sent to the coordinator only.
     #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
     pub requested_keys: Vec<(u32, Vec<u16>)>,
+    /// Responses of a service's versions since an order; sent to the coordinator only.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub observation: Option<EncodedObservation>,
 }
 
 impl Report {
@@ -206,6 +217,10 @@
             .map(|(id, percent)| (*id, f64::from(*percent) / 100.0))
             .collect();
         self.vm.apply_relative_latencies(&latencies);
+        if let Some(observation) = &report.observation {
+            self.vm
+                .record_rollout_observation(report.sender, rollout::decode(observation));
+        }
         if report.sequence == 0 {
             return;
         }
@@ -287,6 +302,7 @@
         let mut last_commit_revision = 0;
         let mut last_offer = None;
         let mut last_full_report = clock::now();
+        let mut last_observation = last_full_report;
         let mut peers = self.vm.peers();
         let mut destinations = self.destinations(&peers);
         loop {
@@ -304,6 +320,10 @@
                 // Other VMs may join at the same time; one report serves them all.
                 tokio::time::sleep(JOIN_REPORT_DELAY).await;
             }
+            if clock::now().saturating_since(last_observation) >= OBSERVATION_INTERVAL {
+                last_observation = clock::now();
+                self.report_observations();
+            }
             let is_due =
                 reports::is_full_report_due(vms, clock::now().saturating_since(last_full_report));
             let offer = self.vm.helper_offer();
@@ -372,17 +392,42 @@
             }
             return;
         }
-        let peers = self.vm.peers();
-        let peer = peers.iter().find(|peer| peer.name == coordinator);
-        let Some(peer) = peer else {
+        let Some(address) = self.peer_address(&coordinator) else {
             return;
         };
         let sender = self.vm.identity.incarnation;
         for report in Report::for_coordinator(sender, &requested_keys, &latencies) {
-            self.send_to(&report.encode(), peer.address);
+            self.send_to(&report.encode(), address);
+        }
+    }
+
+    /// Tells the coordinator of the responses of services' versions; does nothing without an order.
+    fn report_observations(&self) {
+        let observations = self.vm.rollout_observations();
+        if observations.is_empty() {
+            return;
+        }
+        let Some(coordinator) = self.vm.coordinator() else {
+            return;
+        };
+        let sender = self.vm.identity.incarnation;
+        if coordinator == self.vm.identity.name {
+            for observation in observations {
+                self.vm.record_rollout_observation(sender, observation);
+            }
+        } else if let Some(address) = self.peer_address(&coordinator) {
+            for observation in &observations {
+                self.send_to(&rollout::report(sender, observation).encode(), address);
+            }
         }
     }
 
+    fn peer_address(&self, name: &str) -> Option<SocketAddr> {
+        let peers = self.vm.peers();
+        let peer = peers.iter().find(|peer| peer.name == name);
+        peer.map(|peer| peer.address)
+    }
+
     /// Sends a datagram without waiting for room in the send buffer.
     fn send_to(&self, bytes: &[u8], address: SocketAddr) {
         // A full send buffer loses the report, as the network may.
--- a/crates/kumquat-router/src/record.rs
+++ b/crates/kumquat-router/src/record.rs
@@ -4,7 +4,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use kumquat_coordination::fleet::rollout::{Phase, Record};
 use kumquat_coordination::fleet::{Holder, OwnedRange, OwnershipMap};
 use serde::{Deserialize, Serialize};
 
@@ -17,6 +19,9 @@
     /// The ranges of the ownership map don't cover every key exactly once.
     #[error("the owners do not cover all keys once")]
     InvalidOwnershipMap,
+    /// The state of a rollout is none that this version knows.
+    #[error("{0:?} is not a state of a rollout")]
+    UnknownPhase(String),
 }
 
 /// The record with which a VM registers itself as a member.
@@ -42,6 +47,28 @@
     pub ends_at_ms: u64,
 }
 
+/// The state of a rollout, whose key holds the service.
+#[derive(Debug, Serialize, Deserialize)]
+struct RolloutRecord {
+    /// Revision of the order.
+    #[serde(rename = "o")]
+    order: u64,
+    #[serde(rename = "t")]
+    target: String,
+    /// `running`, `completed` or `rolled_back`.
+    #[serde(rename = "p")]
+    phase: String,
+    /// Share in thousandths.
+    #[serde(rename = "s")]
+    share: u32,
+    /// Milliseconds from the order to the step.
+    #[serde(rename = "e")]
+    elapsed_ms: u64,
+    /// Versions that get no requests.
+    #[serde(rename = "b", default)]
+    barred: Vec<String>,
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 struct OwnershipMapRecord {
     #[serde(rename = "n")]
@@ -150,6 +177,41 @@
     decode(bytes)
 }
 
+/// Encodes the state of a rollout.
+#[must_use]
+pub fn encode_rollout(record: &Record) -> Vec<u8> {
+    let barred = record.barred.iter();
+    encode(&RolloutRecord {
+        order: record.order,
+        target: record.target.to_string(),
+        phase: record.phase.to_string(),
+        share: record.share,
+        elapsed_ms: u64::try_from(record.elapsed.as_millis()).unwrap_or(u64::MAX),
+        barred: barred.map(ToString::to_string).collect(),
+    })
+}
+
+/// Decodes the state of a rollout.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are not the expected CBOR or the phase is unknown.
+pub fn decode_rollout(bytes: &[u8]) -> Result<Record, RecordError> {
+    let record: RolloutRecord = decode(bytes)?;
+    let phases = [Phase::Running, Phase::Completed, Phase::RolledBack];
+    let phase = phases
+        .into_iter()
+        .find(|phase| phase.to_string() == record.phase);
+    Ok(Record {
+        order: record.order,
+        target: Arc::from(record.target),
+        phase: phase.ok_or(RecordError::UnknownPhase(record.phase))?,
+        share: record.share,
+        elapsed: Duration::from_millis(record.elapsed_ms),
+        barred: record.barred.into_iter().map(Arc::from).collect(),
+    })
+}
+
 /// Encodes the registration of a VM.
 #[must_use]
 pub fn encode_vm_registration(registration: &VmRegistration) -> Vec<u8> {
--- a/crates/kumquat-router/src/vm.rs
+++ b/crates/kumquat-router/src/vm.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 pub use kumquat_coordination::fleet::Peer;
+use kumquat_coordination::fleet::rollout::Bounds;
 use kumquat_coordination::fleet::{OwnershipMap, Quarantine, UpstreamInstance, WeightedRoundRobin};
 use kumquat_state::clock::{self, Instant};
 use rand::RngExt as _;
@@ -26,6 +27,7 @@
 mod place;
 mod quarantine;
 mod reports;
+mod rollout;
 mod state;
 
 pub use helpers::HelperPermit;
@@ -64,6 +66,8 @@
     pub max_grant_duration: Duration,
     /// Time from the start of a graceful shutdown to the end of the process.
     pub shutdown_grace: Duration,
+    /// Limits on what a bad version of a service may receive during a rollout.
+    pub rollout: Bounds,
 }
 
 /// Identity of this router process.
@@ -122,6 +126,8 @@
         let mut state = State::default();
         state.table.set_local_data_centre(&identity.data_centre);
         state.table.set_limit_seed(identity.incarnation);
+        let gates = state.table.gates_mut();
+        gates.set_bounds(bounds.rollout, identity.incarnation);
         state.quarantine = Quarantine::new(identity.incarnation, rand::rng().random());
         Rc::new(Self {
             identity,
--- a/crates/kumquat-router/src/vm/place.rs
+++ b/crates/kumquat-router/src/vm/place.rs
@@ -10,8 +10,8 @@
 use kumquat_state::clock::{self, Instant};
 use tokio::sync::oneshot;
 
-use super::Vm;
 use super::state::Waiter;
+use super::{Vm, short_id};
 
 /// The upstreams that may run a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -28,15 +28,26 @@
     vm: Rc<Vm>,
     /// Upstream in whose slot the request runs.
     pub upstream: UpstreamInstance,
+    // Short id of the request's route, once the request is sent.
+    route: Option<u32>,
     is_completed: bool,
 }
 
 impl SlotPermit {
+    /// Sets the route of the request that is about to be sent, by which versions of a service are compared.
+    pub fn set_route(&mut self, name: &str) {
+        self.route = Some(short_id(name));
+    }
+
     /// Releases the slot and records the outcome of the attempt and the load that the upstream reported.
     ///
     /// Dropping the permit instead records that the caller disconnected.
     pub fn complete(mut self, outcome: AttemptOutcome, load: Option<UpstreamLoad>) {
         self.is_completed = true;
+        if let Some(route) = self.route {
+            self.vm
+                .record_version_outcome(&self.upstream, route, outcome);
+        }
         self.vm.release_slot(&self.upstream, outcome, load);
     }
 }
@@ -157,6 +168,7 @@
         SlotPermit {
             vm: Rc::clone(self),
             upstream,
+            route: None,
             is_completed: false,
         }
     }
--- a/crates/kumquat-router/src/vm/state.rs
+++ b/crates/kumquat-router/src/vm/state.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use kumquat_coordination::fleet::rollout::Evidence;
 use kumquat_coordination::fleet::{
     HelperTable, Membership, OwnershipMap, PathMonitor, Peer, Quarantine, RateLimiter, RetryBudget,
     Selection, UpstreamInstance, UpstreamTable, WaitQueue, WeightedRoundRobin,
@@ -49,6 +50,8 @@
     pub(super) coordinator: Option<String>,
     pub(super) queue: WaitQueue,
     pub(super) quarantine: Quarantine,
+    // What the VMs have told this one of the versions of services while it was the coordinator.
+    pub(super) rollout_evidence: Evidence,
     // What is known of the path to the upstreams of each service that has failed before, sorted by service.
     pub(super) paths: Vec<(Arc<str>, PathMonitor)>,
     pub(super) helpers: HelperTable,
