--- a/crates/kumquat-coordination/src/fleet/rollout.rs
+++ b/crates/kumquat-coordination/src/fleet/rollout.rs
@@ -25,8 +25,8 @@
 /// Steps of the new version's share: the part of the order's duration after which a step is taken, and the part of the
 /// largest share that it allows.
 ///
-/// The last step leaves a fifth of the allowed share for VMs that stop late and for requests in flight.
-const STEPS: [(f64, f64); 3] = [(0.0, 0.2), (0.08, 0.5), (0.16, 0.8)];
+/// The bound counts all requests until the end of the duration, so that the last step leaves room for VMs that stop late.
+const STEPS: [(f64, f64); 3] = [(0.0, 0.2), (0.08, 0.6), (0.16, 1.0)];
 
 /// Part of the order's duration after which the new version gets all requests if nothing speaks against it.
 ///
--- a/crates/kumquat-coordination/src/fleet/rollout/gate.rs
+++ b/crates/kumquat-coordination/src/fleet/rollout/gate.rs
@@ -1,7 +1,6 @@
 //! The `gate` module provides the limit on a new version's share of a service's requests at one VM.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use kumquat_state::clock::Instant;
 
@@ -13,7 +12,7 @@
 /// Part of the slack that the VMs use, so that a service with few requests gets evidence too.
 ///
 /// The rest is left for the random differences between the VMs' whole requests and their shares.
-const USED_SLACK_FRACTION: f64 = 0.3;
+const USED_SLACK_FRACTION: f64 = 0.4;
 
 /// Requests beyond the share that a VM may send at once after the new version's upstreams were not available.
 const MAX_CREDIT: f64 = 3.0;
@@ -100,7 +99,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Gates {
     // Sorted by service.
-    gates: Vec<Gate>,
+    services: Vec<Gate>,
     bounds: Bounds,
     seed: u64,
     store_read_at: Instant,
@@ -176,7 +175,7 @@
 
     /// Returns the services that have or had an order.
     pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.gates.iter().map(|gate| &gate.service)
+        self.services.iter().map(|gate| &gate.service)
     }
 
     /// Returns whether upstreams of a version get no requests because the version was rolled back.
@@ -294,7 +293,7 @@
         id: impl Fn(&str) -> u32,
     ) -> Vec<(Arc<str>, Observation)> {
         let is_stale = self.is_stale(now);
-        let running = self.gates.iter().filter(|gate| {
+        let running = self.services.iter().filter(|gate| {
             let phase = gate.current_record().map(|record| record.phase);
             gate.order.is_some() && phase.is_none_or(|phase| phase == Phase::Running)
         });
@@ -312,13 +311,13 @@
     }
 
     fn is_stale(&self, now: Instant) -> bool {
-        let limit: Duration = self.bounds.rollback_time.mul_f64(STALE_FRACTION);
+        let limit = self.bounds.rollback_time.mul_f64(STALE_FRACTION);
         now.saturating_since(self.store_read_at) > limit
     }
 
     fn gate(&self, service: &str) -> Option<&Gate> {
         let position = self.position(service).ok()?;
-        Some(&self.gates[position])
+        Some(&self.services[position])
     }
 
     fn gate_mut(&mut self, service: &str) -> &mut Gate {
@@ -331,14 +330,14 @@
                 is_stopped: false,
                 routes: Vec::new(),
             };
-            self.gates.insert(position, gate);
+            self.services.insert(position, gate);
             position
         });
-        &mut self.gates[position]
+        &mut self.services[position]
     }
 
     fn position(&self, service: &str) -> Result<usize, usize> {
-        self.gates
+        self.services
             .binary_search_by(|gate| (*gate.service).cmp(service))
     }
 }
--- a/crates/kumquat-router/src/metrics.rs
+++ b/crates/kumquat-router/src/metrics.rs
@@ -5,6 +5,10 @@
     TextEncoder,
 };
 
+mod rollout;
+
+pub use rollout::RolloutMetrics;
+
 /// Upper bounds of the histogram buckets, spaced for deadlines between a tenth of a second and a few seconds.
 const DURATION_BUCKETS_S: [f64; 12] = [
     0.01, 0.02, 0.04, 0.07, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0,
@@ -36,12 +40,8 @@
     pub suspect_requests: IntCounterVec,
     /// Contents in quarantine.
     pub quarantined_contents: IntGauge,
-    /// Responses during rollouts, by side of the order and outcome.
-    pub rollout_responses: IntCounterVec,
-    /// Steps of rollouts that this VM has learned of, by state.
-    pub rollout_steps: IntCounterVec,
-    /// Times that this VM stopped sending to a new version because of responses of its own.
-    pub rollout_stops: IntCounter,
+    /// Metrics of rollouts of services to other versions.
+    pub rollout: RolloutMetrics,
     /// Services to whose upstreams this VM has no path.
     pub lost_paths: IntGauge,
     /// Requests that were forwarded to other VMs, by outcome.
@@ -126,20 +126,7 @@
                 "kumquat_vm_quarantined_contents",
                 "Request contents in quarantine.",
             )?,
-            rollout_responses: counter(
-                "kumquat_vm_rollout_responses_total",
-                "Responses of old and new versions during rollouts.",
-                &["version", "outcome"],
-            )?,
-            rollout_steps: counter(
-                "kumquat_vm_rollout_steps_total",
-                "Steps of rollouts in force on this VM.",
-                &["state"],
-            )?,
-            rollout_stops: total(
-                "kumquat_vm_rollout_stops_total",
-                "New versions that this VM stopped sending to on its own.",
-            )?,
+            rollout: RolloutMetrics::register(&registrar)?,
             lost_paths: gauge(
                 "kumquat_vm_lost_paths",
                 "Services to whose upstreams this VM has no path.",
--- a/crates/kumquat-router/src/vm/rollout.rs
+++ b/crates/kumquat-router/src/vm/rollout.rs
@@ -25,7 +25,7 @@
         match order {
             Some(order) => {
                 info!(self.log, "rollout ordered"; "service" => service, "target" => &*order.target,
-                "order" => order.revision, "duration_ms" => u64::try_from(order.duration.as_millis()).unwrap_or(u64::MAX))
+                "order" => order.revision, "duration_ms" => u64::try_from(order.duration.as_millis()).unwrap_or(u64::MAX));
             }
             None => info!(self.log, "rollout order withdrawn"; "service" => service),
         }
@@ -33,7 +33,7 @@
     }
 
     /// Sets the state of a service's rollout as read from the store, unless a later one is known.
-    pub fn set_rollout_record(self: &Rc<Self>, service: &str, record: Record) {
+    pub fn set_rollout_record(self: &Rc<Self>, service: &str, record: &Record) {
         let mut state = self.state.borrow_mut();
         if !state.table.gates_mut().set_record(service, record.clone()) {
             return;
@@ -42,7 +42,7 @@
         info!(self.log, "rollout step in force"; "service" => service, "target" => &*record.target,
             "order" => record.order, "state" => %record.phase, "share_permille" => record.share);
         let phase = record.phase.to_string();
-        let counter = &self.metrics.rollout_steps;
+        let counter = &self.metrics.rollout.steps;
         counter.with_label_values(&[&phase]).inc();
         self.dispatch_queued();
     }
@@ -53,15 +53,17 @@
         state.table.gates_mut().set_store_read(clock::now());
     }
 
-    /// Returns the services that have or had an order, with the present order and when this VM learned of it.
+    /// Returns the services that have or had an order.
     #[must_use]
-    pub fn rollout_orders(&self) -> Vec<(Arc<str>, Option<(Order, Instant)>)> {
+    pub fn rollout_services(&self) -> Vec<Arc<str>> {
         let state = self.state.borrow();
-        let gates = state.table.gates();
-        let services = gates.services();
-        services
-            .map(|service| (Arc::clone(service), gates.order(service).cloned()))
-            .collect()
+        state.table.gates().services().cloned().collect()
+    }
+
+    /// Returns the order for a service and when this VM learned of it.
+    #[must_use]
+    pub fn rollout_order(&self, service: &str) -> Option<(Order, Instant)> {
+        self.state.borrow().table.gates().order(service).cloned()
     }
 
     /// Returns the state of a service's latest rollout.
@@ -100,12 +102,12 @@
             | AttemptOutcome::Unreachable
             | AttemptOutcome::CallerDisconnected => "not_counted",
         };
-        let counter = &self.metrics.rollout_responses;
+        let counter = &self.metrics.rollout.responses;
         counter.with_label_values(&[side, outcome]).inc();
         if let Some(fault) = fault {
             warn!(self.log, "new version stopped on this VM"; "service" => &*upstream.service,
                 "target" => &*upstream.version, "fault" => ?fault);
-            self.metrics.rollout_stops.inc();
+            self.metrics.rollout.stops.inc();
         }
     }
 
--- a/crates/kumquat-router/tests/messages.rs
+++ b/crates/kumquat-router/tests/messages.rs
@@ -1,5 +1,9 @@
 //! Tests that truncated, split and malformed HTTP messages, reports and records are handled or refused.
 
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquat_coordination::fleet::rollout::{Phase, Record};
 use kumquat_coordination::fleet::{Holder, OwnedRange, OwnershipMap};
 use kumquat_router::errors::Error;
 use kumquat_router::http::{Framing, HttpConnection};
@@ -250,6 +254,7 @@
         quarantines: vec![(u64::MAX, 1, 60_000)],
         clearances: vec![(1, 20)],
         helper_offer: Some(("127.0.0.1:7101".parse().expect("an address"), vec![7])),
+        observation: Some((7, u64::MAX, 1_000, 2, vec![1; 11])),
     };
 
     let decoded = Report::decode(&report.encode()).expect("a report");
@@ -293,6 +298,40 @@
     assert!(length <= 8 * 1024, "{length} bytes");
 }
 
+/// Guards against counts of a service with many routes that the coordinator never gets.
+#[test]
+fn the_largest_observation_of_a_rollout_fits_a_datagram() {
+    let report = Report {
+        sender: u64::MAX,
+        observation: Some((u32::MAX, u64::MAX, 1_000, u32::MAX, vec![u32::MAX; 64 * 11])),
+        ..Report::default()
+    };
+
+    let length = report.encode().len();
+
+    assert!(length <= MAX_DATAGRAM_BYTES, "{length} bytes");
+}
+
+/// Guards against the state of a rollout that changes when it is encoded for the store, and against one that
+/// can't be read.
+#[test]
+fn the_state_of_a_rollout_round_trips_through_its_record() {
+    let state = Record {
+        order: u64::MAX,
+        target: Arc::from("v2"),
+        phase: Phase::RolledBack,
+        share: 20,
+        elapsed: Duration::from_millis(900),
+        barred: vec![Arc::from("v2")],
+    };
+
+    let decoded = record::decode_rollout(&record::encode_rollout(&state)).expect("a state");
+    let unknown = record::decode_rollout(&record::encode_rollout(&state)[1..]);
+
+    assert_eq!(decoded, state);
+    unknown.unwrap_err();
+}
+
 /// Guards against requested keys and latencies that never reach the coordinator, because they are dropped above a number
 /// or are in a datagram that the receiver can't hold.
 #[test]
