Send the limited share of a rollout to a few upstreams at a time

Spread over all new upstreams, a tenth of the requests leaves each of them with a tenth of the usual load, and faults that show under load only appear after the whole service has moved. The share now goes to as many slots as one and a half times its part of the old ones, at least two upstreams, and on to the next ones every 2 s; keyed services use one upstream after the other.

--- a/crates/kumquat-coordination/src/fleet/table.rs
+++ b/crates/kumquat-coordination/src/fleet/table.rs
@@ -373,16 +373,18 @@
         used.map(|row| (row.id, row.own_in_flight)).collect()
     }
 
-    /// Selects the upstream with the lowest expected response time on a side of the service's rollout.
+    /// Selects the upstream with the lowest expected response time on a side of the service's rollout, except those at
+    /// the positions `excluded`.
     fn select_on(
         &mut self,
         now: Instant,
         service: &str,
         tried: &[Arc<str>],
         side: Option<Side>,
+        excluded: Vec<usize>,
         noise: &impl Fn() -> f64,
     ) -> Selection {
-        let mut over_limit = Vec::new();
+        let mut over_limit = excluded;
         let mut first_allowed: Option<(Duration, usize)> = None;
         loop {
             let scan = self.scan(now, service, tried, &over_limit, side, noise);
--- a/crates/kumquat-coordination/src/fleet/table/rollout.rs
+++ b/crates/kumquat-coordination/src/fleet/table/rollout.rs
@@ -5,7 +5,18 @@
 use kumquat_state::clock::Instant;
 
 use super::{AttemptOutcome, Row, Selection, UpstreamInstance, UpstreamTable};
-use crate::fleet::rollout::{Fault, Gates, Observation, Order, Plan, Side};
+use crate::fleet::rollout::{Fault, Gates, Observation, Order, Plan, Side, WHOLE};
+
+/// Factor between the slots that get the limited share and the same part of the old versions' slots.
+///
+/// A few slots are used less evenly than many, so that the same load would queue there more often.
+const CANARY_HEADROOM: f64 = 1.5;
+
+/// Upstreams that get the limited share at least, because one of them can be slow for reasons of its own.
+const MIN_CANARY_UPSTREAMS: usize = 2;
+
+/// Time in seconds after which the next upstreams get the limited share.
+const CANARY_PERIOD_S: u64 = 2;
 
 impl UpstreamTable {
     /// Returns the orders and the states of rollouts.
@@ -37,31 +48,73 @@
         noise: impl Fn() -> f64,
     ) -> Selection {
         self.expire_peer_reports(now);
-        let (first, second) = match self.gates.plan(now, service, !tried.is_empty()) {
-            None => return self.select_on(now, service, tried, None, &noise),
-            Some(Plan::Prefer) => (Side::New, Some(Side::Old)),
-            Some(Plan::Only(side)) => (side, self.only_other_side(service, side)),
+        let Some(plan) = self.gates.plan(now, service, !tried.is_empty()) else {
+            return self.select_on(now, service, tried, None, Vec::new(), &noise);
         };
-        let selection = self.select_on(now, service, tried, Some(first), &noise);
-        match (&selection, second) {
-            (Selection::Selected(_), _) | (_, None) => selection,
-            (_, Some(side)) => self.select_on(now, service, tried, Some(side), &noise),
-        }
+        // If no upstream of a side accepts requests, the other one gets them, so that the service is not interrupted.
+        let (has_new, has_old) = self.rollout_sides(service);
+        let side = match plan {
+            Plan::Only(Side::New) if !has_new => Side::Old,
+            Plan::Only(Side::Old) | Plan::Prefer if !has_old => Side::New,
+            Plan::Only(side) => side,
+            Plan::Prefer => {
+                let excluded = self.canary_exclusions(now, service);
+                let new = Some(Side::New);
+                let selection = self.select_on(now, service, tried, new, excluded, &noise);
+                if matches!(selection, Selection::Selected(_)) {
+                    return selection;
+                }
+                Side::Old
+            }
+        };
+        self.select_on(now, service, tried, Some(side), Vec::new(), &noise)
     }
 
-    /// Returns the other side if no upstream of this one accepts requests, so that the service is not interrupted.
-    fn only_other_side(&self, service: &str, side: Side) -> Option<Side> {
-        let mut rows = self.rows.iter();
-        let has_eligible = rows.any(|row| {
-            &*row.upstream.service == service
-                && self.is_eligible(row)
-                && self.is_on_side(row, Some(side))
-        });
-        match side {
-            _ if has_eligible => None,
-            Side::Old => Some(Side::New),
-            Side::New => Some(Side::Old),
+    /// Returns the positions of the new version's upstreams that get no requests of the limited share now.
+    ///
+    /// The share is sent to a few upstreams at a time, which then have about the load of the old ones, because some
+    /// faults show under load only. An upstream without a free slot gets nothing, so that its queue does not make the
+    /// version look slow.
+    fn canary_exclusions(&mut self, now: Instant, service: &str) -> Vec<usize> {
+        let share =
+            f64::from(self.gates.share(now, service).unwrap_or_default()) / f64::from(WHOLE);
+        let ordered_at = self.gates.order(service).map_or(now, |(_, at)| *at);
+        let mut new = Vec::new();
+        let mut available = Vec::new();
+        let mut old_slots = 0.0;
+        for index in 0..self.rows.len() {
+            let row = &self.rows[index];
+            if &*row.upstream.service != service || !self.is_eligible(row) {
+                continue;
+            }
+            if self.is_on_side(row, Some(Side::Old)) {
+                old_slots += f64::from(row.upstream.slots);
+                continue;
+            }
+            new.push(index);
+            let in_flight = self.total_in_flight(now, index);
+            if self.is_available(now, index, in_flight) {
+                available.push((index, in_flight));
+            }
+        }
+        let wanted = share * CANARY_HEADROOM * old_slots;
+        let period = now.saturating_since(ordered_at).as_secs() / CANARY_PERIOD_S;
+        let start = usize::try_from(period).unwrap_or(0) % available.len().max(1);
+        available.rotate_left(start);
+        let mut chosen_slots = 0.0;
+        let mut count = 0;
+        for (index, in_flight) in available {
+            if count >= MIN_CANARY_UPSTREAMS && chosen_slots >= wanted {
+                break;
+            }
+            let slots = self.rows[index].upstream.slots;
+            chosen_slots += f64::from(slots);
+            count += 1;
+            if in_flight < slots {
+                new.retain(|other| *other != index);
+            }
         }
+        new
     }
 
     /// Returns whether a row is on a side of its service's order; all are if no side is given.
--- a/crates/kumquat-coordination/tests/fleet_rollout.rs
+++ b/crates/kumquat-coordination/tests/fleet_rollout.rs
@@ -499,3 +499,54 @@
     assert_eq!(accepts, [true, true, false]);
     assert_eq!(table.gates().side(SERVICE, "v2"), None::<Side>);
 }
+
+/// Guards against a limited share that is spread over all new upstreams, so that faults under load don't show.
+#[test]
+fn the_limited_share_goes_to_a_few_upstreams_at_a_time() {
+    let mut table = UpstreamTable::default();
+    table.set_vms(at(0), 1, 0);
+    for number in 0..10 {
+        table.upsert(at(0), upstream(&format!("a{number}"), "v1"), 11.0);
+        table.upsert(at(0), upstream(&format!("b{number}"), "v2"), 11.0);
+    }
+    table.set_rollout_order(at(0), SERVICE, Some(order(5, "v2")));
+    let record = Record {
+        order: 5,
+        target: Arc::from("v2"),
+        phase: Phase::Running,
+        share: 100,
+        elapsed: Duration::ZERO,
+        barred: Vec::new(),
+    };
+    table.gates_mut().set_record(SERVICE, record);
+    let mut random = StdRng::seed_from_u64(7);
+    let mut used_in = |from: u64| {
+        table.gates_mut().set_store_read(at(from));
+        let mut names = Vec::new();
+        for now in from..from + 1_000 {
+            let noise = random.random();
+            let selection = table.select(at(now), SERVICE, &[], || noise);
+            let Selection::Selected(upstream) = selection else {
+                panic!("{selection:?}");
+            };
+            let outcome = AttemptOutcome::Completed {
+                relative_latency: 1.0,
+            };
+            table.record_outcome(at(now), &upstream.name, 1, outcome, None);
+            if &*upstream.version == "v2" {
+                names.push(upstream.name);
+            }
+        }
+        let requests = names.len();
+        names.sort_unstable();
+        names.dedup();
+        (requests, names)
+    };
+
+    let (requests, first) = used_in(0);
+    let (_, second) = used_in(2_000);
+
+    assert!((95..=125).contains(&requests), "{requests}");
+    assert_eq!((first.len(), second.len()), (2, 2));
+    assert_ne!(first, second);
+}
--- a/crates/kumquat-router/src/vm/rollout.rs
+++ b/crates/kumquat-router/src/vm/rollout.rs
@@ -175,13 +175,19 @@
             return;
         }
         let share = f64::from(share) / f64::from(WHOLE);
-        for (member, is_new) in members.iter_mut().zip(is_new) {
-            if is_new && share < 1.0 {
-                member.may_own &= share > 0.0;
-                member.capacity *= share / (1.0 - share) * old / new;
-            } else if !is_new {
-                member.may_own &= share < 1.0;
+        if share >= 1.0 {
+            for (member, is_new) in members.iter_mut().zip(is_new) {
+                member.may_own &= is_new;
             }
+            return;
+        }
+        // Few upstreams with the load of the old ones get enough requests to be judged.
+        let mut remaining = share / (1.0 - share) * old;
+        let new = members.iter_mut().zip(is_new).filter(|(_, is_new)| *is_new);
+        for (member, _) in new.filter(|(member, _)| member.may_own) {
+            member.capacity = member.capacity.min(remaining);
+            remaining -= member.capacity;
+            member.may_own = member.capacity > 0.0;
         }
     }
 }
