--- a/crates/kumquat-router/tests/messages.rs
+++ b/crates/kumquat-router/tests/messages.rs
@@ -309,6 +309,7 @@
 
     let length = report.encode().len();
 
+    println!("{length} bytes");
     assert!(length <= MAX_DATAGRAM_BYTES, "{length} bytes");
 }
 
