Keep a route's mean latency that of the old versions during a rollout

Responses of a new version entered the route's moving average, so that after some twenty of them a slow version looked usual to itself and the comparison lost its measure. They are left out until there is a verdict.

--- a/crates/kumquat-coordination/src/fleet/rollout/gate.rs
+++ b/crates/kumquat-coordination/src/fleet/rollout/gate.rs
@@ -196,6 +196,17 @@
         })
     }
 
+    /// Returns whether a version is the one that the order names, and there is no verdict yet.
+    #[must_use]
+    pub fn is_on_trial(&self, service: &str, version: &str) -> bool {
+        let Some(gate) = self.gate(service) else {
+            return false;
+        };
+        let phase = gate.current_record().map(|record| record.phase);
+        let is_target = gate.target().is_some_and(|target| **target == *version);
+        is_target && phase.is_none_or(|phase| phase == Phase::Running)
+    }
+
     /// Returns the share of the new version that this VM applies, in thousandths; `None` without an order.
     #[must_use]
     pub fn share(&self, now: Instant, service: &str) -> Option<u32> {
--- a/crates/kumquat-router/src/gateway/attempt.rs
+++ b/crates/kumquat-router/src/gateway/attempt.rs
@@ -180,7 +180,10 @@
             }
         } else {
             self.count_attempt("answer");
-            self.vm.record_latency(self.route, latency);
+            // The route's mean stays that of the old versions, with which a new one is compared.
+            if !self.vm.is_on_trial(&placed.upstream) {
+                self.vm.record_latency(self.route, latency);
+            }
             self.vm
                 .record_relative_latency(&placed.upstream, relative_latency, load);
             AttemptOutcome::Completed { relative_latency }
--- a/crates/kumquat-router/src/vm/rollout.rs
+++ b/crates/kumquat-router/src/vm/rollout.rs
@@ -72,6 +72,14 @@
         self.state.borrow().table.gates().record(service).cloned()
     }
 
+    /// Returns whether an upstream is of a version that is being rolled out and has no verdict yet.
+    #[must_use]
+    pub fn is_on_trial(&self, upstream: &UpstreamInstance) -> bool {
+        let state = self.state.borrow();
+        let gates = state.table.gates();
+        gates.is_on_trial(&upstream.service, &upstream.version)
+    }
+
     /// Counts the outcome of a request to a route for the comparison of versions.
     pub(super) fn record_version_outcome(
         &self,
--- /dev/null
+++ b/crates/kumquat-router/tests/rollout.rs
@@ -0,0 +1,122 @@
+//! Tests what a VM counts and limits while a service is rolled out to another version.
+
+mod fixture {
+    pub mod router;
+}
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fixture::router::{
+    KEYED, POOL, Router, ScriptedUpstream, UpstreamAction, registration, request, run_local_test,
+    send_request, start_router, status,
+};
+use kumquat_coordination::fleet::rollout::{Order, Phase, Record};
+use kumquat_coordination::fleet::{Holder, Member, UpstreamInstance};
+use kumquat_state::clock;
+
+/// A genuine response with a failure.
+const FAILURE: UpstreamAction =
+    UpstreamAction::Raw("HTTP/1.1 500 X\r\nX-Try: ID\r\nX-Sign: s\r\nContent-Length: 0\r\n\r\n");
+
+fn versioned(upstream: UpstreamInstance, version: &str) -> UpstreamInstance {
+    UpstreamInstance {
+        version: Arc::from(version),
+        ..upstream
+    }
+}
+
+/// Makes a router apply a share of an order for the version `v2`.
+fn apply_share(router: &Router, service: &str, share: u32) {
+    let target: Arc<str> = Arc::from("v2");
+    let order = Order {
+        revision: 5,
+        target: Arc::clone(&target),
+        duration: Duration::from_secs(12),
+    };
+    let record = Record {
+        order: 5,
+        target,
+        phase: Phase::Running,
+        share,
+        elapsed: Duration::ZERO,
+        barred: Vec::new(),
+    };
+    router.vm.record_store_read();
+    router.vm.set_rollout_order(service, Some(order));
+    router.vm.set_rollout_record(service, &record);
+}
+
+/// Guards against failures of a new version that reach callers although old upstreams could answer, that are not counted,
+/// or that a VM goes on to cause.
+#[test]
+fn failures_of_a_new_version_are_counted_and_retried_at_the_old_one() {
+    run_local_test(async {
+        let old = ScriptedUpstream::bind(&[UpstreamAction::Answer("ok")]).await;
+        let new = ScriptedUpstream::bind(&[FAILURE]).await;
+        let router = start_router(&[]);
+        for (name, version, upstream) in [("old", "v1", &old), ("new", "v2", &new)] {
+            let upstream = versioned(registration(name, POOL, upstream), version);
+            router.vm.upsert_upstream(upstream);
+        }
+        // One VM alone may use 20 requests of the slack.
+        apply_share(&router, POOL, 100);
+
+        let mut statuses = Vec::new();
+        for number in 0..10 {
+            let text = request("GET", "/safe/a", &format!("t{number}"));
+            statuses.push(status(&send_request(router.address, &text).await));
+        }
+
+        assert_eq!(statuses, [200; 10]);
+        let observations = router.vm.rollout_observations();
+        let counts = observations[0].routes[0];
+        assert_eq!((observations.len(), observations[0].routes.len()), (1, 1));
+        assert_eq!((counts.old.requests, counts.old.failures), (10, 0));
+        // The VM stops by itself at the sixth failure.
+        assert_eq!((counts.new.requests, counts.new.failures), (6, 6));
+        assert_eq!(new.requests().len(), 6);
+    });
+}
+
+/// Guards against a new version that owns more keys than its share, which a limit on requests can't correct.
+#[test]
+fn members_of_the_new_version_own_keys_in_proportion_to_the_share() {
+    run_local_test(async {
+        let upstream = ScriptedUpstream::bind(&[UpstreamAction::Answer("ok")]).await;
+        let router = start_router(&[]);
+        let versions = [("a", "v1"), ("b", "v1"), ("c", "v2"), ("d", "v2")];
+        for (name, version) in versions {
+            let upstream = versioned(registration(name, KEYED, &upstream), version);
+            router.vm.upsert_upstream(upstream);
+        }
+        let members = |share: Option<u32>| {
+            if let Some(share) = share {
+                apply_share(&router, KEYED, share);
+            }
+            let mut members = versions.map(|(name, _)| Member {
+                holder: Holder {
+                    name: Arc::from(name),
+                    incarnation: 1,
+                },
+                may_own: true,
+                is_warm: true,
+                capacity: 9.0,
+                max_requests_per_s: None,
+            });
+            let now = clock::now();
+            router.vm.limit_rollout_members(now, KEYED, &mut members);
+            members.map(|member| if member.may_own { member.capacity } else { 0.0 })
+        };
+
+        let (before, limited, whole) = (members(None), members(Some(100)), members(Some(1_000)));
+
+        let is_close = |actual: [f64; 4], expected: [f64; 4]| {
+            let mut pairs = actual.into_iter().zip(expected);
+            pairs.all(|(actual, expected)| (actual - expected).abs() < 1e-9)
+        };
+        assert!(is_close(before, [9.0; 4]), "{before:?}");
+        assert!(is_close(limited, [9.0, 9.0, 2.0, 0.0]), "{limited:?}");
+        assert!(is_close(whole, [0.0, 0.0, 9.0, 9.0]), "{whole:?}");
+    });
+}
