--- a/crates/kumquat-router/src/gateway/attempt.rs
+++ b/crates/kumquat-router/src/gateway/attempt.rs
@@ -28,6 +28,7 @@
         mut placed: SlotPermit,
         progress: &mut RequestProgress,
     ) -> Action {
+        placed.set_route(&self.route.name);
         let upstream_name = Arc::clone(&placed.upstream.name);
         let address = placed.upstream.address;
         progress.tried_upstreams.push(Arc::clone(&upstream_name));
@@ -185,7 +186,10 @@
             }
         } else {
             self.count_attempt("answer");
-            self.vm.record_latency(self.route, latency);
+            // The route's mean stays that of the old versions, with which a new one is compared.
+            if !self.vm.is_on_trial(&placed.upstream) {
+                self.vm.record_latency(self.route, latency);
+            }
             self.vm
                 .record_relative_latency(&placed.upstream, relative_latency, load);
             AttemptOutcome::Completed { relative_latency }
--- a/crates/kumquat-router/src/metrics.rs
+++ b/crates/kumquat-router/src/metrics.rs
@@ -5,6 +5,10 @@
     Registry, TextEncoder,
 };
 
+mod rollout;
+
+pub use rollout::RolloutMetrics;
+
 /// Upper bounds of the histogram buckets, spaced for deadlines between a tenth of a second and a few seconds.
 const DURATION_BUCKETS_S: [f64; 12] = [
     0.01, 0.02, 0.04, 0.07, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0,
@@ -39,6 +43,8 @@
     pub suspect_requests: IntCounterVec,
     /// Contents in quarantine.
     pub quarantined_contents: IntGauge,
+    /// Metrics of rollouts of services to other versions.
+    pub rollout: RolloutMetrics,
     /// Services to whose upstreams this VM has no path.
     pub lost_paths: IntGauge,
     /// Requests that were forwarded to other VMs, by outcome.
@@ -127,6 +133,7 @@
                 "kumquat_vm_quarantined_contents",
                 "Request contents in quarantine.",
             )?,
+            rollout: RolloutMetrics::register(&registrar)?,
             lost_paths: gauge(
                 "kumquat_vm_lost_paths",
                 "Services to whose upstreams this VM has no path.",
