--- a/crates/kumquat-coordination/src/fleet/ownership/plan.rs
+++ b/crates/kumquat-coordination/src/fleet/ownership/plan.rs
@@ -214,8 +214,8 @@
         let key_count = f64::from(u16::MAX) + 1.0;
         // Owners whose load can't be split further, such as one whose only busy key exceeds its capacity.
         let mut unsplittable: Vec<Holder> = Vec::new();
-        let mut moves = 0;
-        while moves < max_moves {
+        let mut remaining_moves = max_moves;
+        while remaining_moves > 0 {
             loads.sort_by(|a, b| a.utilization().total_cmp(&b.utilization()));
             let mut by_load = loads.iter().rev();
             let most_loaded = by_load.find(|owner| !unsplittable.contains(&owner.holder));
@@ -245,7 +245,7 @@
                 unsplittable.push(from);
                 continue;
             };
-            moves += 1;
+            remaining_moves -= 1;
             for owner in &mut loads {
                 if owner.holder == from {
                     owner.load -= moved;
