Close a connection whose input was discarded behind a relayed answer

Input that can't be buffered behind a request is discarded, after which no request may be read. An answer that is relayed while it arrives had announced its connection as kept open before the input was discarded, and the next request was then read from the rest: a POST of 200 KB was executed with 68 KB or more of its body missing. This was so for input beyond 32 KB, and became more likely since input is also discarded when half of the budget is used. The connection is now closed after such an answer.

A test shows it: it failed before the change (2 requests at the upstream instead of 1) and passes now.

--- a/crates/kumquat-router/src/caller/connection.rs
+++ b/crates/kumquat-router/src/caller/connection.rs
@@ -359,7 +359,9 @@
             }
             if is_end {
                 stream.finish();
-                return Ok(options.keeps_alive);
+                // Input may have been discarded since the head was written; what follows it is no request.
+                let may_continue = !self.in_flight.is_empty() || !self.http.has_discarded_input();
+                return Ok(options.keeps_alive && may_continue);
             }
             bytes.clear();
         }
--- a/crates/kumquat-router/tests/intake.rs
+++ b/crates/kumquat-router/tests/intake.rs
@@ -4,12 +4,14 @@
     pub mod router;
 }
 
+use std::time::Duration;
+
 use fixture::router::{
     Router, ScriptedUpstream, UpstreamAction, header_field, read_answer, request, run_local_test,
     send_request, sleep_ms, start_request, start_router, status,
 };
 use kumquat_coordination::fleet::intake::Bounds;
-use tokio::io::AsyncReadExt as _;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
 /// Returns a request whose head announces a body of this length.
 fn upload(path: &str, id: &str, length: usize) -> String {
@@ -106,3 +108,30 @@
         assert_eq!(end.expect("a closed connection"), 0);
     });
 }
+
+/// Guards against a request that is executed although a part of its body was discarded behind a response that is relayed.
+#[test]
+fn a_request_of_which_a_part_was_discarded_is_not_executed() {
+    const HEAD: &str =
+        "HTTP/1.1 200 OK\r\nX-Try: ID\r\nX-Sign: s\r\nContent-Length: 100000\r\n\r\n";
+    run_local_test(async {
+        let upstream = ScriptedUpstream::bind(&[
+            UpstreamAction::LargeBody(HEAD, 100_000, Duration::from_millis(200)),
+            UpstreamAction::Answer("one"),
+        ])
+        .await;
+        let router = start_router(&[&upstream]);
+        let body = varied_body(200_000);
+        let first = request("GET", "/safe/a", "t1") + &upload("/once/b", "t2", body.len());
+        let mut caller = start_request(&router, &(first + &body[..100_000])).await;
+        let mut response = vec![0; 100_000];
+        caller.read_exact(&mut response).await.expect("a response");
+
+        sleep_ms(50).await;
+        // The connection may be closed already.
+        _ = caller.write_all(body.repeat(2).as_bytes()).await;
+        sleep_ms(100).await;
+
+        assert_eq!(upstream.requests().len(), 1);
+    });
+}
