Cover the responding upstreams in the round trip of reports

The test names every field of a report, and did not build since the field of the upstreams that responded was added. It now carries that field too.

--- a/crates/kumquat-router/tests/messages.rs
+++ b/crates/kumquat-router/tests/messages.rs
@@ -250,6 +250,7 @@
         handed_over_tokens: Some(vec![(1, 2)]),
         draining: vec![3],
         latencies_percent: vec![(1, 110)],
+        responded: vec![7, 9],
         requested_keys: vec![(1, vec![0, 65_535])],
         ended_exchanges: vec![(u64::MAX, 8, 2, 30)],
         quarantines: vec![(u64::MAX, 1, 60_000)],
