--- a/crates/kumquat-coordination/tests/fleet_work.rs
+++ b/crates/kumquat-coordination/tests/fleet_work.rs
@@ -31,6 +31,7 @@
         let upstream = UpstreamInstance {
             name: Arc::from(format!("{index}")),
             incarnation: 1,
+            version: Arc::from(""),
             service: service(),
             data_centre: Arc::from("dc-a"),
             address: "127.0.0.1:1".parse().expect("an address"),
