--- a/crates/kumquat-coordination/src/fleet/ownership/plan.rs
+++ b/crates/kumquat-coordination/src/fleet/ownership/plan.rs
@@ -176,7 +176,7 @@
         }
     }
 
-    /// Inserts a range at `index` under the upstream with the lowest utilization, and advances the index.
+    /// Inserts a range at `index` under the upstream with the lowest utilization with it, and advances the index.
     fn assign_to_least_loaded(
         &self,
         mut range: OwnedRange,
@@ -185,10 +185,10 @@
         index: &mut usize,
     ) {
         let load = self.load_of_range(&range);
-        if let Some(least) = loads
-            .iter_mut()
-            .min_by(|a, b| a.utilization().total_cmp(&b.utilization()))
-        {
+        if let Some(least) = loads.iter_mut().min_by(|a, b| {
+            a.utilization_with(load)
+                .total_cmp(&b.utilization_with(load))
+        }) {
             least.load += load;
             change_owner(&mut range, &least.holder, &mut map.next_fencing_token);
         }
@@ -419,7 +419,12 @@
 impl OwnerLoad {
     /// Returns the load per unit of capacity.
     fn utilization(&self) -> f64 {
-        self.load / self.capacity
+        self.utilization_with(0.0)
+    }
+
+    /// Returns the load per unit of capacity with further load.
+    fn utilization_with(&self, load: f64) -> f64 {
+        (self.load + load) / self.capacity
     }
 }
 
--- a/crates/kumquat-router/src/http/connection.rs
+++ b/crates/kumquat-router/src/http/connection.rs
@@ -2,12 +2,10 @@
 //!
 //! A connection holds no buffer while it is idle.
 
-use std::io::IoSlice;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
-use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::task::coop::consume_budget;
 
@@ -18,6 +16,8 @@
 use crate::errors::{Error, Result};
 use crate::intake::Hold;
 
+mod write;
+
 /// Buffer space that is reserved for each read of a head.
 const MIN_READ_BYTES: usize = 2 * 1024;
 
@@ -425,51 +425,6 @@
         }
     }
 
-    /// Writes some of `parts` or, if the peer accepts no more for now, reads what it sends.
-    async fn write_or_read(&mut self, parts: &[&[u8]], written: &mut usize) -> Result<()> {
-        self.charge().await;
-        match self.try_write_parts(parts, *written) {
-            Ok(count) => {
-                self.uncharged_bytes += count;
-                *written += count;
-                return Ok(());
-            }
-            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
-            Err(error) => return Err(error.into()),
-        }
-        let interest = Interest::READABLE | Interest::WRITABLE;
-        if !self.stream.ready(interest).await?.is_readable() {
-            return Ok(());
-        }
-        match self
-            .stream
-            .try_read_buf(self.buffer.reserve(MIN_READ_BYTES))
-        {
-            Ok(0) => Err(Error::Truncated),
-            Ok(count) => {
-                self.uncharged_bytes += count;
-                Ok(())
-            }
-            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => Ok(()),
-            Err(error) => Err(error.into()),
-        }
-    }
-
-    /// Writes some of the bytes of all `parts` from an index on, without waiting; returns how many.
-    fn try_write_parts(&self, parts: &[&[u8]], mut index: usize) -> std::io::Result<usize> {
-        let mut slices = [IoSlice::new(&[]); MAX_WRITTEN_SLICES];
-        let mut count = 0;
-        for part in parts {
-            if index >= part.len() {
-                index -= part.len();
-            } else if count < MAX_WRITTEN_SLICES {
-                slices[count] = IoSlice::new(&part[index..]);
-                (index, count) = (0, count + 1);
-            }
-        }
-        self.stream.try_write_vectored(&slices[..count])
-    }
-
     fn parse_response_head(&mut self, search_from: usize) -> Result<Option<ResponseHead>> {
         // The first bytes are parsed at once, so that a peer that does not speak HTTP is rejected early. After that the
         // head is parsed only when it may be complete, as it can arrive byte by byte.
@@ -555,48 +510,6 @@
         }
         body.update_hold(0)
     }
-
-    /// Closes the sending direction of the connection.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the connection fails.
-    pub async fn shutdown_write(&mut self) -> Result<()> {
-        Ok(tokio::io::AsyncWriteExt::shutdown(&mut self.stream).await?)
-    }
-
-    /// Writes all of `bytes`.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the connection fails; part of the bytes may then have been sent.
-    pub async fn write_all(&mut self, bytes: &[u8]) -> Result<()> {
-        self.write_parts(&[bytes]).await
-    }
-
-    /// Writes all bytes of `parts` in their order.
-    ///
-    /// # Errors
-    ///
-    /// As for [`Self::write_all`].
-    pub async fn write_parts(&mut self, parts: &[&[u8]]) -> Result<()> {
-        let length = parts.iter().map(|part| part.len()).sum();
-        let mut written = 0;
-        while written < length {
-            self.charge().await;
-            match self.try_write_parts(parts, written) {
-                Ok(count) => {
-                    self.uncharged_bytes += count;
-                    written += count;
-                }
-                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
-                    self.stream.writable().await?;
-                }
-                Err(error) => return Err(error.into()),
-            }
-        }
-        Ok(())
-    }
 }
 
 /// Returns whether the buffer contains the empty line that ends a head, from an index on.
