Keep a service whose new version is its only one

A rollback of the only version that a service has left it without any upstream: in a simulation with failing upstreams of the new version alone, 5,231 of some 6,000 requests were not served. A fault now leads to a rollback only while other upstreams accept requests, and an order that is withdrawn after the step to all requests counts as completed.

--- a/crates/kumquat-coordination/src/fleet/rollout.rs
+++ b/crates/kumquat-coordination/src/fleet/rollout.rs
@@ -235,7 +235,11 @@
             };
             Some(Decision { record, reason })
         };
-        if let Assessment::Faulty(fault) = assessment {
+        let are_others_missing = self.are_others_missing(now, situation);
+        // Without other upstreams, a rollback would end the service.
+        if let Assessment::Faulty(fault) = assessment
+            && situation.has_old
+        {
             return Some(roll_back(record, elapsed, Reason::Faulty(fault)));
         }
         if record.share >= WHOLE {
@@ -246,17 +250,10 @@
             }
             return None;
         }
-        if situation.has_old {
-            self.others_missing_since = None;
-        }
-        let missing_since = *self.others_missing_since.get_or_insert(now);
-        if situation.has_target
-            && !situation.has_old
-            && now.saturating_since(missing_since) >= MIN_MISSING_TIME
-        {
+        if are_others_missing && situation.has_target {
             return step(Phase::Running, WHOLE, Reason::NoOthers);
         }
-        if progress >= FULL_FRACTION {
+        if progress >= FULL_FRACTION && (situation.has_old || !situation.has_target) {
             return match assessment {
                 _ if !situation.has_target => Some(roll_back(record, elapsed, Reason::NoUpstreams)),
                 Assessment::Faulty(fault) | Assessment::Doubtful(fault) => {
@@ -298,6 +295,16 @@
         }
     }
 
+    /// Returns whether no upstreams of other versions have accepted requests for some time.
+    fn are_others_missing(&mut self, now: Instant, situation: Situation) -> bool {
+        if situation.has_old {
+            self.others_missing_since = None;
+            return false;
+        }
+        let missing_since = *self.others_missing_since.get_or_insert(now);
+        now.saturating_since(missing_since) >= MIN_MISSING_TIME
+    }
+
     /// Assesses the responses since the order and the recent ones.
     fn assess(&mut self, now: Instant, totals: &[RouteCounts]) -> Assessment {
         let whole = assess(totals, totals);
@@ -328,11 +335,19 @@
 
 /// Returns the step that ends a rollout whose order was withdrawn before there was a verdict.
 ///
-/// The new version has not been shown to be sound, so it gets no further requests.
+/// A version with a limited share has not been shown to be sound, so it gets no further requests.
 #[must_use]
 pub fn withdraw(record: &Record) -> Option<Record> {
-    let is_limited = record.phase == Phase::Running && record.share < WHOLE;
-    is_limited.then(|| roll_back(record, record.elapsed, Reason::NoResponses).record)
+    if record.phase != Phase::Running {
+        return None;
+    }
+    if record.share < WHOLE {
+        return Some(roll_back(record, record.elapsed, Reason::NoResponses).record);
+    }
+    Some(Record {
+        phase: Phase::Completed,
+        ..record.clone()
+    })
 }
 
 fn roll_back(record: &Record, elapsed: Duration, reason: Reason) -> Decision {
--- a/crates/kumquat-coordination/tests/fleet_rollout.rs
+++ b/crates/kumquat-coordination/tests/fleet_rollout.rs
@@ -54,6 +54,18 @@
     }
 }
 
+/// Returns the state of a rollout to `v2` with a share in thousandths.
+fn running(share: u32) -> Record {
+    Record {
+        order: 5,
+        target: Arc::from("v2"),
+        phase: Phase::Running,
+        share,
+        elapsed: Duration::ZERO,
+        barred: Vec::new(),
+    }
+}
+
 /// Latency relative to the route's mean of a response that is sent at a time to a route, or `None` for a failure.
 type Behaviour = fn(&mut StdRng, u64, u32) -> Option<f64>;
 
@@ -363,31 +375,23 @@
     assert_eq!(course.new_requests, 0);
 }
 
-/// Guards against a verdict without steps before it: with no old upstreams there is nothing to compare with.
+/// Guards against a service that ends with the rollback of its only version, however that answers.
 #[test]
 fn a_service_with_the_new_version_only_is_not_interrupted() {
-    let mut fleet = Fleet::new(4, &["v2", "v2"]);
+    for behaviour in [sound, failing] {
+        let mut fleet = Fleet::new(4, &["v2", "v2"]);
 
-    let course = fleet.run(0.5, sound, always);
+        let course = fleet.run(0.5, behaviour, always);
 
-    assert_eq!(
-        course.verdict.map(|(_, phase)| phase),
-        Some(Phase::Completed)
-    );
-    assert_eq!(course.unserved, 0);
+        let phase = course.verdict.map(|(_, phase)| phase);
+        assert_eq!((phase, course.unserved), (Some(Phase::Completed), 0));
+    }
 }
 
 /// Guards against a second order under which a version without a verdict gets a usual share of the requests.
 #[test]
 fn a_second_order_bars_the_version_of_the_first() {
-    let first = Record {
-        order: 5,
-        target: Arc::from("v2"),
-        phase: Phase::Running,
-        share: 20,
-        elapsed: Duration::ZERO,
-        barred: Vec::new(),
-    };
+    let first = running(20);
     let situation = Situation {
         has_target: true,
         has_old: true,
@@ -410,14 +414,7 @@
 #[test]
 fn a_vm_that_does_not_read_the_store_stops() {
     let mut fleet = Fleet::new(5, &["v1", "v2"]);
-    let record = Record {
-        order: 5,
-        target: Arc::from("v2"),
-        phase: Phase::Running,
-        share: 500,
-        elapsed: Duration::ZERO,
-        barred: Vec::new(),
-    };
+    let record = running(500);
     let table = &mut fleet.tables[0];
     table.gates_mut().set_store_read(at(0));
     table.gates_mut().set_record(SERVICE, record);
@@ -441,14 +438,7 @@
 #[test]
 fn a_vm_stops_by_its_own_responses() {
     let mut fleet = Fleet::new(6, &["v1", "v2"]);
-    let record = Record {
-        order: 5,
-        target: Arc::from("v2"),
-        phase: Phase::Running,
-        share: 80,
-        elapsed: Duration::ZERO,
-        barred: Vec::new(),
-    };
+    let record = running(80);
     let table = &mut fleet.tables[0];
     table.gates_mut().set_store_read(at(0));
     table.gates_mut().set_record(SERVICE, record);
@@ -478,17 +468,9 @@
     for (name, version) in [("u0", ""), ("u1", "v1"), ("u2", "v2")] {
         table.upsert(at(0), upstream(name, version), 11.0);
     }
-    let running = Record {
-        order: 5,
-        target: Arc::from("v2"),
-        phase: Phase::Running,
-        share: 20,
-        elapsed: Duration::ZERO,
-        barred: Vec::new(),
-    };
 
     let plan_before = table.gates().plan(at(0), SERVICE, false);
-    let withdrawn = withdraw(&running).expect("there was no verdict");
+    let withdrawn = withdraw(&running(20)).expect("there was no verdict");
     table.gates_mut().set_record(SERVICE, withdrawn);
     let plan_after = table.gates().plan(at(0), SERVICE, false);
     let accepts: Vec<bool> = [("u0", ""), ("u1", "v1"), ("u2", "v2")]
@@ -510,14 +492,7 @@
         table.upsert(at(0), upstream(&format!("b{number}"), "v2"), 11.0);
     }
     table.set_rollout_order(at(0), SERVICE, Some(order(5, "v2")));
-    let record = Record {
-        order: 5,
-        target: Arc::from("v2"),
-        phase: Phase::Running,
-        share: 100,
-        elapsed: Duration::ZERO,
-        barred: Vec::new(),
-    };
+    let record = running(100);
     table.gates_mut().set_record(SERVICE, record);
     let mut random = StdRng::seed_from_u64(7);
     let mut used_in = |from: u64| {
