--- a/crates/kumquat-coordination/src/fleet/ownership/plan.rs
+++ b/crates/kumquat-coordination/src/fleet/ownership/plan.rs
@@ -176,7 +176,7 @@
         }
     }
 
-    /// Inserts a range at `index` under the upstream with the lowest utilization, and advances the index.
+    /// Inserts a range at `index` under the upstream with the lowest utilization with it, and advances the index.
     fn assign_to_least_loaded(
         &self,
         mut range: OwnedRange,
@@ -185,10 +185,10 @@
         index: &mut usize,
     ) {
         let load = self.load_of_range(&range);
-        if let Some(least) = loads
-            .iter_mut()
-            .min_by(|a, b| a.utilization().total_cmp(&b.utilization()))
-        {
+        if let Some(least) = loads.iter_mut().min_by(|a, b| {
+            a.utilization_with(load)
+                .total_cmp(&b.utilization_with(load))
+        }) {
             least.load += load;
             change_owner(&mut range, &least.holder, &mut map.next_fencing_token);
         }
@@ -214,8 +214,8 @@
         let key_count = f64::from(u16::MAX) + 1.0;
         // Owners whose load can't be split further, such as one whose only busy key exceeds its capacity.
         let mut unsplittable: Vec<Holder> = Vec::new();
-        let mut moves = 0;
-        while moves < max_moves {
+        let mut remaining_moves = max_moves;
+        while remaining_moves > 0 {
             loads.sort_by(|a, b| a.utilization().total_cmp(&b.utilization()));
             let mut by_load = loads.iter().rev();
             let most_loaded = by_load.find(|owner| !unsplittable.contains(&owner.holder));
@@ -245,7 +245,7 @@
                 unsplittable.push(from);
                 continue;
             };
-            moves += 1;
+            remaining_moves -= 1;
             for owner in &mut loads {
                 if owner.holder == from {
                     owner.load -= moved;
@@ -419,7 +419,12 @@
 impl OwnerLoad {
     /// Returns the load per unit of capacity.
     fn utilization(&self) -> f64 {
-        self.load / self.capacity
+        self.utilization_with(0.0)
+    }
+
+    /// Returns the load per unit of capacity with further load.
+    fn utilization_with(&self, load: f64) -> f64 {
+        (self.load + load) / self.capacity
     }
 }
 
--- a/crates/kumquat-router/src/gateway.rs
+++ b/crates/kumquat-router/src/gateway.rs
@@ -6,12 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquat_coordination::fleet::{Fingerprint, RateDecision, deadline_during_shutdown};
+use kumquat_coordination::fleet::{Cost, Fingerprint, RateDecision, deadline_during_shutdown};
 use kumquat_state::clock::{self, Instant};
 
 use crate::access_log::AccessLogEntry;
 use crate::config::{Config, Route};
-use crate::http::{Framing, Headers, RequestHead};
+use crate::http::{Body, Framing, Headers, RequestHead};
 use crate::vm::{QueueParams, SlotError, SlotPermit, Target, Vm};
 
 mod attempt;
@@ -61,7 +61,7 @@
     /// Request line and header fields.
     pub head: RequestHead,
     /// Decoded body, without transfer coding; empty if there is none.
-    pub body: Vec<u8>,
+    pub body: Body,
     /// Time at which the head arrived; the deadline counts from it.
     pub arrived_at: Instant,
 }
@@ -111,7 +111,7 @@
     }
 
     /// Returns a generated response with a `Retry-After` field, in seconds with three decimals.
-    fn with_retry_after(status: u16, reason: &str, retry_after: Duration) -> Self {
+    pub(crate) fn with_retry_after(status: u16, reason: &str, retry_after: Duration) -> Self {
         let mut response = Self::local(status, reason);
         let after = retry_after.max(MIN_RETRY_AFTER).as_secs_f64();
         response
@@ -129,6 +129,8 @@
     /// Lower values are served first.
     priority: u32,
     target: Target,
+    /// Expected cost, if costs are learned.
+    cost: Option<Cost>,
     received: &'a ReceivedRequest,
     /// Id that the caller gave this attempt.
     attempt_id: &'a str,
@@ -301,6 +303,7 @@
     if is_keyed && key.is_none() {
         return reject(400, "no key number");
     }
+    let cost = vm.request_cost(route, &service, received.head.path(), received.body.len());
     let request = ResolvedRequest {
         vm,
         route,
@@ -312,6 +315,7 @@
             service,
             key: key.filter(|_| is_keyed),
         },
+        cost,
         received,
         attempt_id,
         deadline,
@@ -474,6 +478,7 @@
             max_wait: self.route.latency_target.mul_f64(MAX_QUEUE_WAIT_FRACTION),
             send_deadline,
             mean_latency: mean,
+            cost: self.cost,
         };
         let excluded = if self.target.key.is_some() {
             &[]
--- a/crates/kumquat-router/src/gateway/attempt.rs
+++ b/crates/kumquat-router/src/gateway/attempt.rs
@@ -25,9 +25,10 @@
     /// `placed` is released with the outcome, or handed to the response stream if the body is still arriving.
     pub(super) async fn attempt(
         &self,
-        placed: SlotPermit,
+        mut placed: SlotPermit,
         progress: &mut RequestProgress,
     ) -> Action {
+        placed.set_route(&self.route.name);
         let upstream_name = Arc::clone(&placed.upstream.name);
         let address = placed.upstream.address;
         progress.tried_upstreams.push(Arc::clone(&upstream_name));
@@ -60,8 +61,10 @@
         if remaining < MIN_REMAINING_TIME {
             return Action::Fail("too little time left");
         }
-        let bytes = self.encode_request(&placed, remaining);
+        let head = self.encode_head(&placed, remaining);
+        let parts = self.with_body(&head);
         let started = clock::now();
+        placed.mark_sent(started);
         let kind = if progress.sent_count == 0 {
             "request"
         } else {
@@ -71,13 +74,14 @@
         progress.sent_count += 1;
         progress.sent_to.push(address);
         self.flags.must_finish.set(!self.route.is_idempotent);
-        let request = upstream::UpstreamRequest {
-            method: &self.received.head.method,
-            bytes: &bytes,
-            attempt_id: Some(self.attempt_id),
-        };
-        let exchange =
-            upstream::exchange(&mut wire, &request, &self.vm.dialect, BUFFERED_BODY_BYTES);
+        let exchange = upstream::exchange_parts(
+            &mut wire,
+            &self.received.head.method,
+            &parts,
+            Some(self.attempt_id),
+            &self.vm.dialect,
+            BUFFERED_BODY_BYTES,
+        );
         let result = timeout(remaining, exchange).await;
         let latency = clock::now().saturating_since(started);
         if let (Some(idle_time), Ok(Err(_))) = (idle_time, &result) {
@@ -108,8 +112,10 @@
         wire: HttpConnection,
         progress: &mut RequestProgress,
     ) -> Action {
-        let relative_latency =
-            latency.as_secs_f64() / self.vm.mean_latency(self.route).as_secs_f64().max(0.001);
+        let usual_latency = self
+            .vm
+            .usual_latency(self.route, &self.target.service, self.cost);
+        let relative_latency = latency.as_secs_f64() / usual_latency.as_secs_f64().max(0.001);
         let response = match result {
             Ok(Ok(response)) => response,
             Ok(Err(error)) => {
@@ -180,7 +186,10 @@
             }
         } else {
             self.count_attempt("answer");
-            self.vm.record_latency(self.route, latency);
+            // The route's mean stays that of the old versions, with which a new one is compared.
+            if !self.vm.is_on_trial(&placed.upstream) {
+                self.vm.record_latency(self.route, latency);
+            }
             self.vm
                 .record_relative_latency(&placed.upstream, relative_latency, load);
             AttemptOutcome::Completed { relative_latency }
@@ -303,7 +312,7 @@
     /// Serializes the request line and the caller's end-to-end fields, without those in `replaced`.
     pub(super) fn encode_caller_head(&self, replaced: &[&str]) -> Vec<u8> {
         let head = &self.received.head;
-        let mut bytes = Vec::with_capacity(512 + self.received.body.len());
+        let mut bytes = Vec::with_capacity(512);
         append(
             &mut bytes,
             &[&head.method, " ", &head.target, " HTTP/1.1\r\n"],
@@ -322,10 +331,17 @@
         bytes
     }
 
-    /// Serializes the request for an upstream.
+    /// Returns a serialized head together with the body, which is not copied.
+    pub(super) fn with_body<'a>(&'a self, head: &'a [u8]) -> Vec<&'a [u8]> {
+        std::iter::once(head)
+            .chain(self.received.body.slices())
+            .collect()
+    }
+
+    /// Serializes the head of the request for an upstream.
     ///
     /// Omits hop-by-hop fields, the caller's credentials and its values of the fields that the router sets.
-    fn encode_request(&self, placed: &SlotPermit, remaining: Duration) -> Vec<u8> {
+    fn encode_head(&self, placed: &SlotPermit, remaining: Duration) -> Vec<u8> {
         let dialect = &self.vm.dialect;
         let head = &self.received.head;
         let replaced_fields = [
@@ -361,7 +377,6 @@
             append(&mut bytes, &["Content-Length: ", &length, "\r\n"]);
         }
         append(&mut bytes, &["\r\n"]);
-        bytes.extend_from_slice(&self.received.body);
         bytes
     }
 }
--- a/crates/kumquat-router/src/peers.rs
+++ b/crates/kumquat-router/src/peers.rs
@@ -18,6 +18,7 @@
 use crate::vm::{Peer, PeerUsage, Vm, short_id};
 
 mod quarantine;
+mod rollout;
 mod senders;
 
 pub use senders::{Order, Senders};
@@ -45,6 +46,13 @@
 /// Maximum number of relative latencies in one datagram, which has room for the keys beside them.
 const MAX_REPORTED_LATENCIES: usize = 384;
 
+/// Interval at which a VM tells the coordinator of the responses of a service's versions while there is an order.
+const OBSERVATION_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Short id of the service, revision of the order, applied share in thousandths, requests in flight at old versions, and
+/// the counts by route.
+pub type EncodedObservation = (u32, u64, u32, u32, Vec<u32>);
+
 /// A report in its CBOR encoding, with one-letter field names to keep datagrams small.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -62,6 +70,10 @@
     /// In-flight requests: short id of the upstream and count, alternating.
     #[serde(rename = "r", default)]
     pub in_flight: Vec<u32>,
+    /// Outstanding work of these requests: short id of the upstream and milliseconds, alternating; upstreams may be
+    /// missing, and all are if the sender does not route by cost.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub outstanding_work: Vec<u32>,
     /// Use of the teams' rates: the five numbers of each [`RateUsage`] in field order; present in full reports.
     #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
     pub team_usages: Option<Vec<u32>>,
@@ -104,6 +116,9 @@
     /// Requested keys by the short id of the service; sent to the coordinator only.
     #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
     pub requested_keys: Vec<(u32, Vec<u16>)>,
+    /// Responses of a service's versions since an order; sent to the coordinator only.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub observation: Option<EncodedObservation>,
 }
 
 impl Report {
@@ -218,6 +233,10 @@
             .collect();
         self.vm.apply_relative_latencies(&latencies);
         self.vm.record_responses(&report.responded);
+        if let Some(observation) = &report.observation {
+            self.vm
+                .record_rollout_observation(report.sender, rollout::decode(observation));
+        }
         if report.sequence == 0 {
             return;
         }
@@ -244,13 +263,14 @@
             self.vm.record_helper_offer(report.sender, offer);
         }
         let in_flight = pairs(&report.in_flight);
+        let work_ms = pairs(&report.outstanding_work);
         let usage = report.team_usages.map(|teams| PeerUsage {
             teams: decode_usages(&teams),
             upstreams: decode_usages(&report.limit_usages),
             limits: decode_limits(&report.request_limits),
         });
         self.vm
-            .apply_peer_report(report.sender, &in_flight, usage.as_ref());
+            .apply_peer_report(report.sender, &in_flight, &work_ms, usage.as_ref());
     }
 
     /// Forwards the report of a VM of another data centre to the peers of this VM's data centre.
@@ -299,6 +319,7 @@
         let mut last_commit_revision = 0;
         let mut last_offer = None;
         let mut last_full_report = clock::now();
+        let mut last_observation = last_full_report;
         let mut peers = self.vm.peers();
         let mut destinations = self.destinations(&peers);
         loop {
@@ -320,6 +341,10 @@
                 // Other VMs may join at the same time; one report serves them all.
                 tokio::time::sleep(JOIN_REPORT_DELAY).await;
             }
+            if clock::now().saturating_since(last_observation) >= OBSERVATION_INTERVAL {
+                last_observation = clock::now();
+                self.report_observations();
+            }
             let is_due =
                 reports::is_full_report_due(vms, clock::now().saturating_since(last_full_report));
             let offer = self.vm.helper_offer();
@@ -343,7 +368,8 @@
             let mut report = Report {
                 sender: self.vm.identity.incarnation,
                 sequence,
-                in_flight: in_flight.iter().flat_map(|pair| [pair.0, pair.1]).collect(),
+                in_flight: flat(&in_flight),
+                outstanding_work: flat(&self.vm.outstanding_work()),
                 ..Report::default()
             };
             if is_full {
@@ -390,9 +416,7 @@
             }
             return;
         }
-        let peers = self.vm.peers();
-        let peer = peers.iter().find(|peer| peer.name == coordinator);
-        let Some(peer) = peer else {
+        let Some(address) = self.peer_address(&coordinator) else {
             return;
         };
         let sender = self.vm.identity.incarnation;
@@ -401,10 +425,37 @@
             report.responded = responded;
         }
         for report in reports {
-            self.send_to(&report.encode(), peer.address);
+            self.send_to(&report.encode(), address);
+        }
+    }
+
+    /// Tells the coordinator of the responses of services' versions; does nothing without an order.
+    fn report_observations(&self) {
+        let observations = self.vm.rollout_observations();
+        if observations.is_empty() {
+            return;
+        }
+        let Some(coordinator) = self.vm.coordinator() else {
+            return;
+        };
+        let sender = self.vm.identity.incarnation;
+        if coordinator == self.vm.identity.name {
+            for observation in observations {
+                self.vm.record_rollout_observation(sender, observation);
+            }
+        } else if let Some(address) = self.peer_address(&coordinator) {
+            for observation in &observations {
+                self.send_to(&rollout::report(sender, observation).encode(), address);
+            }
         }
     }
 
+    fn peer_address(&self, name: &str) -> Option<SocketAddr> {
+        let peers = self.vm.peers();
+        let peer = peers.iter().find(|peer| peer.name == name);
+        peer.map(|peer| peer.address)
+    }
+
     /// Sends a datagram without waiting for room in the send buffer.
     fn send_to(&self, bytes: &[u8], address: SocketAddr) {
         // A full send buffer loses the report, as the network may.
@@ -489,6 +540,10 @@
     limits.collect()
 }
 
+fn flat(pairs: &[(u32, u32)]) -> Vec<u32> {
+    pairs.iter().flat_map(|pair| [pair.0, pair.1]).collect()
+}
+
 fn pairs(flat: &[u32]) -> Vec<(u32, u32)> {
     let pairs = flat.chunks_exact(2);
     pairs.map(|pair| (pair[0], pair[1])).collect()
--- a/crates/kumquat-router/src/vm.rs
+++ b/crates/kumquat-router/src/vm.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 pub use kumquat_coordination::fleet::Peer;
+use kumquat_coordination::fleet::rollout::Bounds;
 use kumquat_coordination::fleet::{OwnershipMap, Quarantine, UpstreamInstance, WeightedRoundRobin};
 use kumquat_state::clock::{self, Instant};
 use rand::RngExt as _;
@@ -15,6 +16,7 @@
 use crate::access_log::AccessLog;
 use crate::config::{Config, Route};
 use crate::dialect::Dialect;
+use crate::intake::Ledger;
 use crate::metrics::Metrics;
 use crate::pool::ConnectionPool;
 use crate::sorted;
@@ -26,7 +28,10 @@
 mod place;
 mod quarantine;
 mod reports;
+mod rollout;
+mod shutdown;
 mod state;
+mod work;
 
 pub use helpers::HelperPermit;
 pub use place::{QueueParams, SlotError, SlotPermit, Target};
@@ -64,6 +69,8 @@
     pub max_grant_duration: Duration,
     /// Time from the start of a graceful shutdown to the end of the process.
     pub shutdown_grace: Duration,
+    /// Limits on what a bad version of a service may receive during a rollout.
+    pub rollout: Bounds,
 }
 
 /// Identity of this router process.
@@ -94,6 +101,8 @@
     pub request_log: AccessLog,
     /// Prometheus metrics of this process.
     pub metrics: Metrics,
+    /// What callers' connections hold in memory.
+    pub intake: Rc<Ledger>,
     /// Idle connections to upstreams.
     pub pool: RefCell<ConnectionPool>,
     /// Notified when a peer reports a newer store revision than this VM has read.
@@ -121,9 +130,12 @@
         metrics: Metrics,
     ) -> Rc<Self> {
         let request_log = AccessLog::new(log.clone(), metrics.clone());
+        let intake = Ledger::new(metrics.clone(), log.clone());
         let mut state = State::default();
         state.table.set_local_data_centre(&identity.data_centre);
         state.table.set_limit_seed(identity.incarnation);
+        let gates = state.table.gates_mut();
+        gates.set_bounds(bounds.rollout, identity.incarnation);
         state.quarantine = Quarantine::new(identity.incarnation, rand::rng().random());
         Rc::new(Self {
             identity,
@@ -132,6 +144,7 @@
             log,
             request_log,
             metrics,
+            intake,
             pool: RefCell::default(),
             behind_peers: Notify::new(),
             peer_joined: Notify::new(),
@@ -159,13 +172,18 @@
         }
         info!(self.log, "desired state in force"; "version" => config.version, "before" => current_version,
             "routes" => config.routes.len(), "services" => config.services.len(), "teams" => config.teams.len());
+        let largest_request = config.limits.max_head_bytes;
+        let largest_request = largest_request.saturating_add(config.limits.max_body_bytes);
+        self.intake.set_largest_request(largest_request);
         let limits: Vec<(u32, f64, f64)> = config
             .teams
             .iter()
             .map(|team| (short_id(&team.name), team.rate_per_s, team.burst))
             .collect();
         state.rate_limiter.set_limits(now, &limits);
-        state.config = Some(Rc::new(config));
+        let config = Rc::new(config);
+        state.retain_costs(&config);
+        state.config = Some(config);
         state.refresh_warmup_rates(now);
         drop(state);
         self.dispatch_queued();
@@ -184,52 +202,6 @@
             && self.state.borrow().config.is_some()
     }
 
-    /// Returns whether a graceful shutdown has begun; it can't be undone.
-    #[must_use]
-    pub fn is_shutting_down(&self) -> bool {
-        self.shutdown_started_at.borrow().is_some()
-    }
-
-    /// Returns when this VM gives its last answers, if a graceful shutdown has begun.
-    #[must_use]
-    pub fn last_answers_at(&self) -> Option<Instant> {
-        let started_at = *self.shutdown_started_at.borrow();
-        started_at.map(|started_at| self.answers_end(started_at))
-    }
-
-    /// Returns when a VM whose shutdown started at `started_at` gives its last answers.
-    fn answers_end(&self, started_at: Instant) -> Instant {
-        started_at + self.bounds.shutdown_grace.mul_f64(ANSWER_GRACE_FRACTION)
-    }
-
-    /// Waits until a graceful shutdown has come to its last answers.
-    pub async fn last_answers_due(&self) {
-        let due_at = self.answers_end(self.shutdown_started().await);
-        tokio::time::sleep(clock::now().until(due_at)).await;
-    }
-
-    /// Waits until a graceful shutdown begins, and returns when that was; at once if it has begun before.
-    pub async fn shutdown_started(&self) -> Instant {
-        let mut started_at = self.shutdown_started_at.subscribe();
-        loop {
-            let current = *started_at.borrow_and_update();
-            if let Some(started_at) = current {
-                return started_at;
-            }
-            // The sender lives as long as `self`, so the wait can't fail.
-            _ = started_at.changed().await;
-        }
-    }
-
-    /// Begins a graceful shutdown and wakes the tasks that wait for [`Vm::shutdown_started`].
-    pub fn begin_shutdown(&self) {
-        self.shutdown_started_at.send_if_modified(|started_at| {
-            let begins = started_at.is_none();
-            started_at.get_or_insert_with(clock::now);
-            begins
-        });
-    }
-
     /// Adds an upstream or updates its registration.
     pub fn upsert_upstream(self: &Rc<Self>, upstream: UpstreamInstance) {
         let mut state = self.state.borrow_mut();
@@ -567,6 +539,7 @@
             if clock::now().saturating_since(last_sweep) >= POOL_SWEEP_INTERVAL {
                 last_sweep = clock::now();
                 self.pool.borrow_mut().close_expired();
+                self.update_work_metrics();
             }
         }
     }
--- a/crates/kumquat-router/tests/messages.rs
+++ b/crates/kumquat-router/tests/messages.rs
@@ -1,5 +1,9 @@
 //! Tests that truncated, split and malformed HTTP messages, reports and records are handled or refused.
 
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquat_coordination::fleet::rollout::{Phase, Record};
 use kumquat_coordination::fleet::{Holder, OwnedRange, OwnershipMap};
 use kumquat_router::errors::Error;
 use kumquat_router::http::{Framing, HttpConnection};
@@ -238,6 +242,7 @@
         sequence: 3,
         forward: true,
         in_flight: vec![1, 2],
+        outstanding_work: vec![1, 5_000],
         team_usages: Some(vec![5, 60, 50, 3, 2]),
         limit_usages: vec![8, 6, 2, 1, 1],
         request_limits: vec![(8, Some(2_500), 40), (9, None, 3_000)],
@@ -245,11 +250,13 @@
         handed_over_tokens: Some(vec![(1, 2)]),
         draining: vec![3],
         latencies_percent: vec![(1, 110)],
+        responded: vec![7, 9],
         requested_keys: vec![(1, vec![0, 65_535])],
         ended_exchanges: vec![(u64::MAX, 8, 2, 30)],
         quarantines: vec![(u64::MAX, 1, 60_000)],
         clearances: vec![(1, 20)],
         helper_offer: Some(("127.0.0.1:7101".parse().expect("an address"), vec![7])),
+        observation: Some((7, u64::MAX, 1_000, 2, vec![1; 11])),
     };
 
     let decoded = Report::decode(&report.encode()).expect("a report");
@@ -293,6 +300,41 @@
     assert!(length <= 8 * 1024, "{length} bytes");
 }
 
+/// Guards against counts of a service with many routes that the coordinator never gets.
+#[test]
+fn the_largest_observation_of_a_rollout_fits_a_datagram() {
+    let report = Report {
+        sender: u64::MAX,
+        observation: Some((u32::MAX, u64::MAX, 1_000, u32::MAX, vec![u32::MAX; 64 * 11])),
+        ..Report::default()
+    };
+
+    let length = report.encode().len();
+
+    println!("{length} bytes");
+    assert!(length <= MAX_DATAGRAM_BYTES, "{length} bytes");
+}
+
+/// Guards against the state of a rollout that changes when it is encoded for the store, and against one that
+/// can't be read.
+#[test]
+fn the_state_of_a_rollout_round_trips_through_its_record() {
+    let state = Record {
+        order: u64::MAX,
+        target: Arc::from("v2"),
+        phase: Phase::RolledBack,
+        share: 20,
+        elapsed: Duration::from_millis(900),
+        barred: vec![Arc::from("v2")],
+    };
+
+    let decoded = record::decode_rollout(&record::encode_rollout(&state)).expect("a state");
+    let unknown = record::decode_rollout(&record::encode_rollout(&state)[1..]);
+
+    assert_eq!(decoded, state);
+    unknown.unwrap_err();
+}
+
 /// Guards against requested keys and latencies that never reach the coordinator, because they are dropped above a number
 /// or are in a datagram that the receiver can't hold.
 #[test]
