Explain where a request would go without sending it

Operators could see in the logs what had become of a request, but not where one would go now and why. The router now has a page for it: /explain answers with the route, team, service, key and owner, all upstreams of the service with cost and obstacle, the expected wait and the rejection. The checks of an upstream return an obstacle instead of a truth value, and resolving a request is split from admitting it, so that the page uses the functions that route requests. It borrows the state shared and lets them work on copies of the table, the rate limits and the quarantine. The log line of a quarantined request now names its service and key.

--- a/crates/kumquat-coordination/src/fleet.rs
+++ b/crates/kumquat-coordination/src/fleet.rs
@@ -43,8 +43,8 @@
 pub use shutdown::deadline_during_shutdown;
 pub use split::WeightedRoundRobin;
 pub use table::{
-    AttemptOutcome, FinishedWork, RequestWork, Selection, UpstreamInstance, UpstreamLoad,
-    UpstreamTable,
+    AttemptOutcome, Candidate, FinishedWork, Obstacle, RequestWork, Selection, UpstreamInstance,
+    UpstreamLoad, UpstreamTable,
 };
 pub use waiting::{QueuedRequest, WaitQueue};
 pub use work::{Cost, CostModel, CostRouting, RequestKind, observed_work_s, slot_wait_s};
--- a/crates/kumquat-coordination/src/fleet/table.rs
+++ b/crates/kumquat-coordination/src/fleet/table.rs
@@ -11,12 +11,14 @@
 use super::rollout::{Gates, Side};
 use super::{AnnouncedLimits, RateLimiter, random_index};
 
+mod explain;
 mod limits;
 mod notices;
 mod rollout;
 mod row;
 mod work;
 
+pub use explain::{Candidate, Obstacle};
 use row::{LATENCY_FACTOR_EWMA_WEIGHT, LOAD_TTL, MAX_WARMUP_VMS, Row, instance_id};
 pub use work::{FinishedWork, RequestWork};
 
@@ -281,13 +283,7 @@
 
     /// Returns whether requests may be sent to the upstream at all, regardless of its present load.
     fn is_eligible(&self, row: &Row) -> bool {
-        let data_centre = &row.upstream.data_centre;
-        !row.upstream.is_draining
-            && !row.is_drain_announced
-            && !self
-                .gates
-                .is_barred(&row.upstream.service, &row.upstream.version)
-            && self.closed_data_centres.binary_search(data_centre).is_err()
+        self.exclusion(row).is_none()
     }
 
     /// Returns the upstream with a short id of [`UpstreamTable::upstream_id`].
@@ -500,9 +496,7 @@
             if !is_first && noise() >= probability {
                 continue;
             }
-            let remote_cost = if is_local { 0.0 } else { REMOTE_COST_FRACTION };
-            let cost = self.cost(now, index, in_flight)
-                * (1.0 + remote_cost + COST_NOISE_FRACTION * noise());
+            let cost = self.total_cost(now, index, in_flight, noise());
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, index));
             }
@@ -526,13 +520,7 @@
 
     /// Returns whether an eligible upstream can take a request now, regardless of its request limit.
     fn is_available(&mut self, now: Instant, index: usize, in_flight: u32) -> bool {
-        let may_send_in_warmup = self.may_send_in_warmup(&self.rows[index]);
-        let row = &mut self.rows[index];
-        let is_full = in_flight >= row.upstream.slots.saturating_add(MAX_QUEUED_AT_UPSTREAM);
-        let is_paused = row.ejected_until > now || row.backoff_until > now;
-        let is_warmup_limited =
-            row.is_warming_up(now) && (!may_send_in_warmup || row.warmup_bucket.wait_at(now) > 0.0);
-        !is_full && !is_paused && !is_warmup_limited
+        self.obstacle(now, index, in_flight).is_none()
     }
 
     /// Returns the probabilities with which a local and a remote upstream of a service become candidates for a request.
--- a/crates/kumquat-router/src/gateway.rs
+++ b/crates/kumquat-router/src/gateway.rs
@@ -15,10 +15,12 @@
 use crate::vm::{QueueParams, SlotError, SlotPermit, Target, Vm};
 
 mod attempt;
+mod explain;
 mod fingerprint;
 mod forward;
 mod stream;
 
+pub(crate) use explain::explain;
 pub use stream::ResponseStream;
 
 /// Fraction of a route's mean latency that must remain until the deadline for a request to be sent.
@@ -55,6 +57,9 @@
 /// Reason of the refusal of a request whose content has ended the upstreams that executed it.
 const QUARANTINED: &str = "such requests have ended their upstreams";
 
+/// Reason of the refusal of a request above its team's rate.
+const ABOVE_TEAM_RATE: &str = "above the team's rate";
+
 /// A request whose head and body have been received completely.
 #[derive(Debug)]
 pub struct ReceivedRequest {
@@ -249,21 +254,24 @@
     response
 }
 
-/// Validates and authenticates a request, applies its team's rate limit and forwards it.
+/// Validates and authenticates a request, and returns it with its route, team, service and key, but without its cost.
 ///
-/// Fills in the fields of `entry` as far as they are known when the request ends.
-async fn admit<'a>(
-    vm: &Rc<Vm>,
+/// Changes no state but `entry`, whose fields it fills in as far as they are known when the request ends.
+///
+/// # Errors
+///
+/// Returns the response to a request that can't be sent.
+fn resolve<'a>(
+    vm: &'a Rc<Vm>,
     config: &'a Config,
-    received: &ReceivedRequest,
-    flags: &RequestFlags,
-    progress: &mut RequestProgress,
+    received: &'a ReceivedRequest,
+    flags: &'a RequestFlags,
     entry: &mut AccessLogEntry<'a>,
-) -> Response {
+) -> Result<ResolvedRequest<'a>, Response> {
     let headers = &received.head.headers;
     let mut reject = |status, reason| {
         entry.reason = reason;
-        Response::local(status, reason)
+        Err(Response::local(status, reason))
     };
     let mut hosts = headers.get_all("host");
     let (Some(host), None) = (hosts.next(), hosts.next()) else {
@@ -288,7 +296,11 @@
     entry.team = team.map_or("", |team| &team.name);
     let Some(deadline) = request_deadline(vm, route, received) else {
         entry.reason = "the VM stops before the request could end";
-        return Response::with_retry_after(503, entry.reason, MIN_RETRY_AFTER);
+        return Err(Response::with_retry_after(
+            503,
+            entry.reason,
+            MIN_RETRY_AFTER,
+        ));
     };
     entry.deadline_ms = saturating_millis(received.arrived_at.until(deadline));
     let Some(service) = vm.next_service(route) else {
@@ -303,8 +315,9 @@
     if is_keyed && key.is_none() {
         return reject(400, "no key number");
     }
-    let cost = vm.request_cost(route, &service, received.head.path(), received.body.len());
-    let request = ResolvedRequest {
+    entry.service = service.to_string();
+    entry.key = key.filter(|_| is_keyed);
+    Ok(ResolvedRequest {
         vm,
         route,
         team: team.map(|team| team.name.as_str()),
@@ -315,28 +328,45 @@
             service,
             key: key.filter(|_| is_keyed),
         },
-        cost,
+        cost: None,
         received,
         attempt_id,
         deadline,
         flags,
         fingerprint: OnceCell::new(),
+    })
+}
+
+/// Resolves a request, applies its team's rate limit and forwards it.
+///
+/// Fills in the fields of `entry` as far as they are known when the request ends.
+async fn admit<'a>(
+    vm: &'a Rc<Vm>,
+    config: &'a Config,
+    received: &'a ReceivedRequest,
+    flags: &'a RequestFlags,
+    progress: &mut RequestProgress,
+    entry: &mut AccessLogEntry<'a>,
+) -> Response {
+    let mut request = match resolve(vm, config, received, flags, entry) {
+        Ok(request) => request,
+        Err(response) => return response,
     };
+    let (route, service) = (request.route, &request.target.service);
+    request.cost = vm.request_cost(route, service, received.head.path(), received.body.len());
     if let Some(wait) = vm.quarantine_wait(|| request.fingerprint()) {
         entry.reason = QUARANTINED;
         return Response::with_retry_after(503, entry.reason, wait);
     }
-    entry.service = request.target.service.to_string();
-    entry.key = request.target.key;
     // A forwarded request takes its token and counts as a request at the VM that serves it.
     let result = if request.should_forward(progress) {
         request.forward(progress).await
     } else {
         // Comes after all other checks, so that a request that can't be sent takes no token.
-        if let Some(team) = team
-            && let RateDecision::Exhausted { wait_s } = vm.try_acquire_team_token(&team.name)
+        if let Some(team) = request.team
+            && let RateDecision::Exhausted { wait_s } = vm.try_acquire_team_token(team)
         {
-            entry.reason = "above the team's rate";
+            entry.reason = ABOVE_TEAM_RATE;
             return Response::with_retry_after(429, entry.reason, retry_delay(wait_s));
         }
         vm.advance_split(route);
@@ -464,22 +494,11 @@
         &self,
         progress: &mut RequestProgress,
     ) -> Result<SlotPermit, Refusal> {
-        let mean = self.vm.mean_latency(self.route);
-        let min_remaining = mean.mul_f64(MIN_REMAINING_FRACTION).max(MIN_REMAINING_TIME);
-        let send_deadline = self.deadline - min_remaining.min(self.route.timeout / 2);
+        let urgency = self.queue_params();
         let started = clock::now();
-        if started > send_deadline {
-            return Err(self.refusal(progress, "too little time left", mean));
+        if started > urgency.send_deadline {
+            return Err(self.lateness(progress, &urgency));
         }
-        let target_time = self.received.arrived_at + self.route.latency_target;
-        let urgency = QueueParams {
-            priority: self.priority,
-            on_time_deadline: target_time - mean,
-            max_wait: self.route.latency_target.mul_f64(MAX_QUEUE_WAIT_FRACTION),
-            send_deadline,
-            mean_latency: mean,
-            cost: self.cost,
-        };
         let excluded = if self.target.key.is_some() {
             &[]
         } else {
@@ -487,7 +506,32 @@
         };
         let placed = self.vm.acquire_slot(&self.target, excluded, urgency).await;
         progress.queue_wait += clock::now().saturating_since(started);
-        placed.map_err(|unplaced| match unplaced {
+        placed.map_err(|unplaced| self.unplaced(progress, unplaced))
+    }
+
+    /// Returns the priority of the request and the limits on its wait.
+    fn queue_params(&self) -> QueueParams {
+        let mean = self.vm.mean_latency(self.route);
+        let min_remaining = mean.mul_f64(MIN_REMAINING_FRACTION).max(MIN_REMAINING_TIME);
+        let target_time = self.received.arrived_at + self.route.latency_target;
+        QueueParams {
+            priority: self.priority,
+            on_time_deadline: target_time - mean,
+            max_wait: self.route.latency_target.mul_f64(MAX_QUEUE_WAIT_FRACTION),
+            send_deadline: self.deadline - min_remaining.min(self.route.timeout / 2),
+            mean_latency: mean,
+            cost: self.cost,
+        }
+    }
+
+    /// Returns the refusal of a request that could no longer be answered in time.
+    fn lateness(&self, progress: &RequestProgress, urgency: &QueueParams) -> Refusal {
+        self.refusal(progress, "too little time left", urgency.mean_latency)
+    }
+
+    /// Returns the refusal of a request that gets no slot.
+    fn unplaced(&self, progress: &RequestProgress, error: SlotError) -> Refusal {
+        match error {
             SlotError::NoUpstream => self.refusal(progress, "no upstream", DEFAULT_RETRY_AFTER),
             SlotError::Busy { wait_s } => {
                 self.refusal(progress, "no room in time", retry_delay(wait_s))
@@ -496,7 +540,7 @@
                 limited_by: Some(upstream),
                 ..self.refusal(progress, "upstream at its request limit", wait)
             },
-        })
+        }
     }
 
     /// Returns the refusal with the status that the progress of the request allows.
--- a/crates/kumquat-router/src/gateway/forward.rs
+++ b/crates/kumquat-router/src/gateway/forward.rs
@@ -24,7 +24,7 @@
 pub(crate) const DECLINED_HEADER: &str = "Kumquat-Declined";
 
 /// Reason of the refusal of a request at a VM that has no path, if no other VM has one.
-const NO_PATH: &str = "no path to the upstreams";
+pub(super) const NO_PATH: &str = "no path to the upstreams";
 
 impl ResolvedRequest<'_> {
     /// Returns whether the request should go to another VM: this one has no path to the service, and it may be sent.
--- a/crates/kumquat-router/src/lib.rs
+++ b/crates/kumquat-router/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod coordination;
 pub mod dialect;
 pub mod errors;
+pub mod explain;
 pub mod gateway;
 pub mod http;
 pub mod intake;
--- a/crates/kumquat-router/src/vm.rs
+++ b/crates/kumquat-router/src/vm.rs
@@ -21,6 +21,7 @@
 use crate::pool::ConnectionPool;
 use crate::sorted;
 
+mod explain;
 mod helpers;
 mod latency;
 mod notices;
@@ -32,6 +33,7 @@
 mod state;
 mod work;
 
+pub(crate) use explain::Placement;
 pub use helpers::HelperPermit;
 pub use place::{QueueParams, SlotError, SlotPermit, Target};
 pub use quarantine::Trial;
--- a/crates/kumquat-router/src/vm/helpers.rs
+++ b/crates/kumquat-router/src/vm/helpers.rs
@@ -104,6 +104,6 @@
 }
 
 /// Returns the age up to which an offer is relied on in a fleet of `vm_count` VMs.
-fn max_offer_age(vm_count: usize) -> Duration {
+pub(super) fn max_offer_age(vm_count: usize) -> Duration {
     max_full_report_interval(vm_count) * MAX_MISSED_REPORTS
 }
--- a/crates/kumquat-router/src/vm/place.rs
+++ b/crates/kumquat-router/src/vm/place.rs
@@ -109,6 +109,13 @@
     pub cost: Option<Cost>,
 }
 
+impl QueueParams {
+    /// Returns whether a request with this expected wait is refused rather than queued.
+    pub(super) fn is_too_long(&self, now: Instant, wait: Duration) -> bool {
+        now + wait > self.send_deadline || wait > self.max_wait
+    }
+}
+
 impl Vm {
     /// Acquires a slot at an upstream, and queues the request if none is free but one is expected in time.
     ///
@@ -142,7 +149,7 @@
             }
             let ahead_work_s = state.queued_work_s(&target.service, params.priority);
             let wait = state.expected_wait(now, target, ahead, ahead_work_s, params.mean_latency);
-            if now + wait > params.send_deadline || wait > params.max_wait {
+            if params.is_too_long(now, wait) {
                 return Err(SlotError::Busy {
                     wait_s: wait.as_secs_f64(),
                 });
--- a/crates/kumquat-router/src/vm/state.rs
+++ b/crates/kumquat-router/src/vm/state.rs
@@ -8,9 +8,9 @@
 
 use kumquat_coordination::fleet::rollout::Evidence;
 use kumquat_coordination::fleet::{
-    Cost, CostModel, CostRouting, HelperTable, Membership, OwnershipMap, PathMonitor, Peer,
-    Quarantine, RateLimiter, RequestWork, RetryBudget, Selection, UpstreamInstance, UpstreamTable,
-    WaitQueue, WeightedRoundRobin,
+    Cost, CostModel, CostRouting, HelperTable, Membership, OwnedRange, OwnershipMap, PathMonitor,
+    Peer, Quarantine, RateLimiter, RequestWork, RetryBudget, Selection, UpstreamInstance,
+    UpstreamTable, WaitQueue, WeightedRoundRobin,
 };
 use kumquat_state::clock::Instant;
 use rand::RngExt as _;
@@ -126,10 +126,7 @@
             .ownership_map(&target.service)
             .and_then(|map| map.range(key))
         {
-            Some(range)
-                if range.previous_owners.is_empty()
-                    || self.is_handed_over(target, range.fencing_token) =>
-            {
+            Some(range) if self.has_grant(target, range) => {
                 let owner = range.owner.clone();
                 let token = range.fencing_token;
                 let selection =
@@ -199,6 +196,11 @@
         key.is_some_and(|key| self.awaits_grant_expiry(now, target, key))
     }
 
+    /// Returns whether the owner of a range can have been granted its keys.
+    pub(super) fn has_grant(&self, target: &Target, range: &OwnedRange) -> bool {
+        range.previous_owners.is_empty() || self.is_handed_over(target, range.fencing_token)
+    }
+
     fn is_handed_over(&self, target: &Target, token: u64) -> bool {
         let service = short_id(&target.service);
         self.handed_over_tokens.contains(&(service, token))
@@ -244,6 +246,17 @@
         if self.awaits_grant_expiry(now, target, key) {
             return GRANT_EXPIRY_WAIT;
         }
+        self.usable_owner_wait(now, target, key, mean_latency)
+    }
+
+    /// Estimates the wait of a new request for a slot at its key's owner, if that can be used or soon will be.
+    pub(super) fn usable_owner_wait(
+        &self,
+        now: Instant,
+        target: &Target,
+        key: u16,
+        mean_latency: Duration,
+    ) -> Duration {
         let Some(owner) = self.owner(&target.service, key) else {
             return Duration::ZERO;
         };
