Write the query of a question and its test as the lints ask

Clippy with warnings as errors refused a formatted string that was appended to another one, and a duration of sixty seconds. The query is now written into its string directly, and the test states a minute.

--- a/crates/kumquat-router/src/explain.rs
+++ b/crates/kumquat-router/src/explain.rs
@@ -1,5 +1,6 @@
 //! The `explain` module provides the page that tells where a request would go now and why, without sending it.
 
+use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -209,7 +210,8 @@
         if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
             encoded.push(char::from(byte));
         } else {
-            encoded.push_str(&format!("%{byte:02X}"));
+            // Writing to a string does not fail.
+            let _ = write!(encoded, "%{byte:02X}");
         }
     }
     encoded
--- a/crates/kumquat-router/tests/explain.rs
+++ b/crates/kumquat-router/tests/explain.rs
@@ -194,7 +194,7 @@
         sleep_ms(500).await;
         let first = send_request(router.address, &request("GET", "/safe/a", "t")).await;
         let mut warming = registration("warming", POOL, &cold);
-        warming.warmup_remaining = std::time::Duration::from_secs(60);
+        warming.warmup_remaining = std::time::Duration::from_mins(1);
         router.vm.upsert_upstream(warming);
         router
             .vm
