Test the reasons and the queue that explanations state

The page's tests covered two of the reasons for which an upstream can't take a request, and no request that would wait.

--- a/crates/kumquat-router/tests/explain.rs
+++ b/crates/kumquat-router/tests/explain.rs
@@ -138,6 +138,30 @@
     });
 }
 
+/// Guards against a full fleet that looks like one without upstreams, and against requests in the queue that are ignored.
+#[test]
+fn a_request_that_would_wait_is_queued_behind_those_that_wait() {
+    run_local_test(async {
+        let upstream = ScriptedUpstream::bind(&[UpstreamAction::NeverAnswer]).await;
+        let router = start_router(&[&upstream]);
+        // Two requests in the slots, two in the upstream's queue, one in that of the VM.
+        let mut open = Vec::new();
+        for number in 0..5 {
+            let text = request("GET", "/safe/a", &format!("t{number}"));
+            open.push(start_request(&router, &text).await);
+        }
+        sleep_ms(50).await;
+
+        let explanation = ask(&router, &question("/safe/a"));
+
+        assert_eq!(obstacles(&explanation), [("u0", Some("full"))]);
+        assert_eq!((explanation.selected, explanation.queued_ahead), (None, 1));
+        assert!(explanation.is_sent);
+        // One request ahead, a mean latency of 70 ms and two slots.
+        assert!((explanation.expected_wait_ms - 35.0).abs() < 1.0);
+    });
+}
+
 /// Guards against a keyed request that is explained by upstreams which may not have it.
 #[test]
 fn a_keyed_request_names_the_owner_of_its_key_and_its_grant() {
