--- a/crates/kumquat-coordination/src/fleet/rollout.rs
+++ b/crates/kumquat-coordination/src/fleet/rollout.rs
@@ -42,6 +42,11 @@
 /// Shortest time from the step to all requests to the completion, which covers requests that were being sent.
 const MIN_SETTLING_TIME: Duration = Duration::from_millis(300);
 
+/// Time for which there have to be no other upstreams before the new version gets all requests for that reason.
+///
+/// Entries can be missing for a moment after a start or an outage of the store.
+const MIN_MISSING_TIME: Duration = Duration::from_secs(1);
+
 /// Interval of the copies of the counts from which the recent ones are calculated.
 const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -169,6 +174,8 @@
     order: Order,
     started_at: Instant,
     full_since: Option<Instant>,
+    // Since when no upstreams of other versions accept requests.
+    others_missing_since: Option<Instant>,
     snapshots: VecDeque<(Instant, Vec<RouteCounts>)>,
 }
 
@@ -185,6 +192,7 @@
             order,
             started_at: now - elapsed,
             full_since: None,
+            others_missing_since: None,
             snapshots: VecDeque::new(),
         }
     }
@@ -227,7 +235,11 @@
             };
             Some(Decision { record, reason })
         };
-        if let Assessment::Faulty(fault) = assessment {
+        let are_others_missing = self.are_others_missing(now, situation);
+        // Without other upstreams, a rollback would end the service.
+        if let Assessment::Faulty(fault) = assessment
+            && situation.has_old
+        {
             return Some(roll_back(record, elapsed, Reason::Faulty(fault)));
         }
         if record.share >= WHOLE {
@@ -238,10 +250,10 @@
             }
             return None;
         }
-        if situation.has_target && !situation.has_old {
+        if are_others_missing && situation.has_target {
             return step(Phase::Running, WHOLE, Reason::NoOthers);
         }
-        if progress >= FULL_FRACTION {
+        if progress >= FULL_FRACTION && (situation.has_old || !situation.has_target) {
             return match assessment {
                 _ if !situation.has_target => Some(roll_back(record, elapsed, Reason::NoUpstreams)),
                 Assessment::Faulty(fault) | Assessment::Doubtful(fault) => {
@@ -283,6 +295,16 @@
         }
     }
 
+    /// Returns whether no upstreams of other versions have accepted requests for some time.
+    fn are_others_missing(&mut self, now: Instant, situation: Situation) -> bool {
+        if situation.has_old {
+            self.others_missing_since = None;
+            return false;
+        }
+        let missing_since = *self.others_missing_since.get_or_insert(now);
+        now.saturating_since(missing_since) >= MIN_MISSING_TIME
+    }
+
     /// Assesses the responses since the order and the recent ones.
     fn assess(&mut self, now: Instant, totals: &[RouteCounts]) -> Assessment {
         let whole = assess(totals, totals);
@@ -313,11 +335,19 @@
 
 /// Returns the step that ends a rollout whose order was withdrawn before there was a verdict.
 ///
-/// The new version has not been shown to be sound, so it gets no further requests.
+/// A version with a limited share has not been shown to be sound, so it gets no further requests.
 #[must_use]
 pub fn withdraw(record: &Record) -> Option<Record> {
-    let is_limited = record.phase == Phase::Running && record.share < WHOLE;
-    is_limited.then(|| roll_back(record, record.elapsed, Reason::NoResponses).record)
+    if record.phase != Phase::Running {
+        return None;
+    }
+    if record.share < WHOLE {
+        return Some(roll_back(record, record.elapsed, Reason::NoResponses).record);
+    }
+    Some(Record {
+        phase: Phase::Completed,
+        ..record.clone()
+    })
 }
 
 fn roll_back(record: &Record, elapsed: Duration, reason: Reason) -> Decision {
--- a/crates/kumquat-coordination/src/fleet/table/explain.rs
+++ b/crates/kumquat-coordination/src/fleet/table/explain.rs
@@ -4,10 +4,7 @@
 
 use kumquat_state::clock::Instant;
 
-use super::{
-    COST_NOISE_FRACTION, MAX_QUEUED_AT_UPSTREAM, REMOTE_COST_FRACTION, RequestWork, Row, Selection,
-    UpstreamInstance, UpstreamTable,
-};
+use super::{MAX_QUEUED_AT_UPSTREAM, RequestWork, Row, Selection, UpstreamInstance, UpstreamTable};
 
 /// Why an upstream can't take a request now.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -185,13 +182,4 @@
         let wait = Duration::try_from_secs_f64(wait_s).map_or(until_warm, |w| w.min(until_warm));
         (wait_s > 0.0).then_some(Obstacle::WarmupLimit { wait })
     }
-
-    /// Returns the cost of the upstream at `index` for a request, with that of traffic between data centres; `noise` is a
-    /// random number from 0 to 1.
-    pub(super) fn total_cost(&self, now: Instant, index: usize, in_flight: u32, noise: f64) -> f64 {
-        let data_centre = &self.rows[index].upstream.data_centre;
-        let is_local = self.local_data_centre.as_ref() == Some(data_centre);
-        let remote_cost = if is_local { 0.0 } else { REMOTE_COST_FRACTION };
-        self.cost(now, index, in_flight) * (1.0 + remote_cost + COST_NOISE_FRACTION * noise)
-    }
 }
