Merge the command that explains a routing decision

kumquat-vm explain asks a running VM's metrics port where a request would go now and why, from the functions that route it; the gateway resolves requests and places them with the same steps as before, cut into functions that both use.

--- a/crates/kumquat-coordination/src/fleet/table.rs
+++ b/crates/kumquat-coordination/src/fleet/table.rs
@@ -11,6 +11,7 @@
 use super::rollout::{Gates, Side};
 use super::{AnnouncedLimits, RateLimiter, random_index};
 
+mod explain;
 mod limits;
 mod notices;
 mod rollout;
@@ -18,6 +19,7 @@
 mod select;
 mod work;
 
+pub use explain::{Candidate, Obstacle};
 use row::{LATENCY_FACTOR_EWMA_WEIGHT, LOAD_TTL, MAX_WARMUP_VMS, Row, instance_id};
 pub use work::{FinishedWork, RequestWork};
 
@@ -263,13 +265,7 @@
 
     /// Returns whether requests may be sent to the upstream at all, regardless of its present load.
     fn is_eligible(&self, row: &Row) -> bool {
-        let data_centre = &row.upstream.data_centre;
-        !row.upstream.is_draining
-            && !row.is_drain_announced
-            && !self
-                .gates
-                .is_barred(&row.upstream.service, &row.upstream.version)
-            && self.closed_data_centres.binary_search(data_centre).is_err()
+        self.exclusion(row).is_none()
     }
 
     /// Returns the upstream with a short id of [`UpstreamTable::upstream_id`].
--- a/crates/kumquat-coordination/src/fleet/table/select.rs
+++ b/crates/kumquat-coordination/src/fleet/table/select.rs
@@ -5,7 +5,7 @@
 
 use kumquat_state::clock::Instant;
 
-use super::{MAX_QUEUED_AT_UPSTREAM, Scan, Selection, Side, UpstreamTable, random_index};
+use super::{Scan, Selection, Side, UpstreamTable, random_index};
 
 /// Largest number of VMs whose reports are frequent enough to compare all upstreams; in larger fleets a request's
 /// candidates are a random part of them.
@@ -110,9 +110,7 @@
             if !is_first && noise() >= probability {
                 continue;
             }
-            let remote_cost = if is_local { 0.0 } else { REMOTE_COST_FRACTION };
-            let cost = self.cost(now, index, in_flight)
-                * (1.0 + remote_cost + COST_NOISE_FRACTION * noise());
+            let cost = self.total_cost(now, index, in_flight, noise());
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, index));
             }
@@ -136,13 +134,7 @@
 
     /// Returns whether an eligible upstream can take a request now, regardless of its request limit.
     pub(super) fn is_available(&mut self, now: Instant, index: usize, in_flight: u32) -> bool {
-        let may_send_in_warmup = self.may_send_in_warmup(&self.rows[index]);
-        let row = &mut self.rows[index];
-        let is_full = in_flight >= row.upstream.slots.saturating_add(MAX_QUEUED_AT_UPSTREAM);
-        let is_paused = row.ejected_until > now || row.backoff_until > now;
-        let is_warmup_limited =
-            row.is_warming_up(now) && (!may_send_in_warmup || row.warmup_bucket.wait_at(now) > 0.0);
-        !is_full && !is_paused && !is_warmup_limited
+        self.obstacle(now, index, in_flight).is_none()
     }
 
     /// Returns the probabilities with which a local and a remote upstream of a service become candidates for a request.
@@ -190,6 +182,15 @@
         self.reserve(now, index)
     }
 
+    /// Returns the cost of the upstream at `index` for a request, with that of traffic between data centres; `noise` is a
+    /// random number from 0 to 1.
+    pub(super) fn total_cost(&self, now: Instant, index: usize, in_flight: u32, noise: f64) -> f64 {
+        let data_centre = &self.rows[index].upstream.data_centre;
+        let is_local = self.local_data_centre.as_ref() == Some(data_centre);
+        let remote_cost = if is_local { 0.0 } else { REMOTE_COST_FRACTION };
+        self.cost(now, index, in_flight) * (1.0 + remote_cost + COST_NOISE_FRACTION * noise)
+    }
+
     /// Counts a request as in flight at the upstream, and against its warm-up limit.
     pub(super) fn reserve(&mut self, now: Instant, index: usize) -> Selection {
         self.reserve_work(now, index);
