--- /dev/null
+++ b/review/standins-2/src/target.rs
@@ -0,0 +1,235 @@
+//! Targets, and the links by which the VMs reach them.
+
+use std::io::{Read, Write};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::http::{Connection, Message};
+
+/// A request that a target has begun to run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub at: Instant,
+    pub id: String,
+    pub service: String,
+    pub target: String,
+    pub line: String,
+    pub tenant: String,
+}
+
+/// What all targets have run.
+pub type Runs = Arc<Mutex<Vec<Run>>>;
+
+/// How a target answers the requests that it has run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Manner {
+    /// With 200 and the signature.
+    Sound,
+    /// With a failure of its own that doesn't state that the request has not run.
+    Failing(u16),
+}
+
+/// A running target.
+#[derive(Clone, Debug)]
+pub struct Target {
+    pub name: String,
+    pub service: String,
+    pub address: SocketAddr,
+    work: Duration,
+    manner: Manner,
+    runs: Runs,
+}
+
+impl Target {
+    pub fn start(
+        name: &str,
+        service: &str,
+        ip: IpAddr,
+        work: Duration,
+        manner: Manner,
+        runs: &Runs,
+    ) -> Self {
+        let listener = TcpListener::bind((ip, 0)).expect("a free port");
+        let target = Self {
+            name: name.to_owned(),
+            service: service.to_owned(),
+            address: listener.local_addr().expect("an address"),
+            work,
+            manner,
+            runs: Arc::clone(runs),
+        };
+        let served = target.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let target = served.clone();
+                std::thread::spawn(move || target.serve(Connection::new(stream)));
+            }
+        });
+        target
+    }
+
+    /// Returns the entry in the store, with `ADDRESS` in place of the address.
+    pub fn entry(&self, zone: &str) -> String {
+        format!(
+            "{{\"service\":\"{}\",\"address\":\"ADDRESS\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":4,\
+             \"state\":\"ready\",\"warmup-left-s\":0,\"sequence\":1,\"born\":1700000000000}}",
+            self.service
+        )
+    }
+
+    fn serve(&self, mut connection: Connection) {
+        while let Ok(request) = connection.read(None) {
+            let answer = self.answer(&request);
+            if connection.write(&answer).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, request: &Message) -> Vec<u8> {
+        let id = request.header("kumquatpond-attempt-id").unwrap_or_default();
+        let load = "Kumquatpond-Server-Load: 1,0,4,100\r\nKeep-Alive: timeout=10\r\n";
+        if request.target() == "/health" {
+            let name = &self.name;
+            return format!("HTTP/1.1 200 OK\r\nKumquatpond-Instance-Id: {name}\r\n{load}Content-Length: 0\r\n\r\n")
+                .into_bytes();
+        }
+        if request
+            .header("kumquatpond-expected-instance")
+            .is_some_and(|expected| expected != self.name)
+        {
+            return format!(
+                "HTTP/1.1 421 Misdirected Request\r\nKumquatpond-Attempt-Id: {id}\r\nKumquatpond-Instance-Id: {}\r\n\
+                 Kumquatpond-Not-Executed: 1\r\n{load}Content-Length: 0\r\n\r\n",
+                self.name
+            )
+            .into_bytes();
+        }
+        if id.is_empty() {
+            return format!(
+                "HTTP/1.1 400 Bad Request\r\nKumquatpond-Not-Executed: 1\r\n{load}Content-Length: 0\r\n\r\n"
+            )
+            .into_bytes();
+        }
+        self.runs.lock().unwrap().push(Run {
+            at: Instant::now(),
+            id: id.to_owned(),
+            service: self.service.clone(),
+            target: self.name.clone(),
+            line: format!("{} {}", request.method(), request.target()),
+            tenant: request
+                .header("kumquatpond-tenant-name")
+                .unwrap_or("-")
+                .to_owned(),
+        });
+        std::thread::sleep(self.work);
+        let body = format!("{} of {}\n", self.name, self.service);
+        let status = match self.manner {
+            Manner::Sound => 200,
+            Manner::Failing(status) => status,
+        };
+        format!(
+            "HTTP/1.1 {status} X\r\nKumquatpond-Attempt-Id: {id}\r\n\
+             Kumquatpond-Response-Signature: 3e1b.07.5a2.{}.0.c9f2a4d1\r\n{load}Content-Length: {}\r\n\r\n{body}",
+            body.len(),
+            body.len()
+        )
+        .into_bytes()
+    }
+}
+
+/// The path from one VM to one target: a proxy that a partition closes.
+///
+/// While it is cut, open connections are closed and new ones are refused.
+#[derive(Clone, Debug)]
+pub struct Link {
+    pub address: SocketAddr,
+    target: SocketAddr,
+    is_cut: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+    connections: Arc<AtomicU64>,
+}
+
+impl Link {
+    pub fn start(ip: IpAddr, target: SocketAddr) -> Self {
+        let listener = TcpListener::bind((ip, 0)).expect("a free port");
+        let link = Self {
+            address: listener.local_addr().expect("an address"),
+            target,
+            is_cut: Arc::default(),
+            open: Arc::default(),
+            connections: Arc::default(),
+        };
+        let running = link.clone();
+        std::thread::spawn(move || running.run(listener));
+        link
+    }
+
+    pub fn set_cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::SeqCst);
+    }
+
+    fn run(&self, listener: TcpListener) {
+        let mut listener = Some(listener);
+        loop {
+            if self.is_cut.load(Ordering::SeqCst) {
+                // Without a listener the kernel refuses new connections.
+                if listener.take().is_some() {
+                    for stream in self.open.lock().unwrap().drain(..) {
+                        let _ = stream.shutdown(std::net::Shutdown::Both);
+                    }
+                }
+                std::thread::sleep(Duration::from_millis(5));
+                continue;
+            }
+            let bound = match listener.take() {
+                Some(bound) => bound,
+                None => match TcpListener::bind(self.address) {
+                    Ok(bound) => bound,
+                    Err(_) => {
+                        std::thread::sleep(Duration::from_millis(5));
+                        continue;
+                    }
+                },
+            };
+            let _ = bound.set_nonblocking(true);
+            match bound.accept() {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nonblocking(false);
+                    self.forward(stream);
+                }
+                Err(_) => std::thread::sleep(Duration::from_millis(1)),
+            }
+            listener = Some(bound);
+        }
+    }
+
+    fn forward(&self, client: TcpStream) {
+        let Ok(server) = TcpStream::connect(self.target) else {
+            return;
+        };
+        self.connections.fetch_add(1, Ordering::SeqCst);
+        let _ = client.set_nodelay(true);
+        let _ = server.set_nodelay(true);
+        let mut open = self.open.lock().unwrap();
+        for (from, to) in [(&client, &server), (&server, &client)] {
+            let (Ok(mut from), Ok(mut to), Ok(kept)) =
+                (from.try_clone(), to.try_clone(), from.try_clone())
+            else {
+                return;
+            };
+            open.push(kept);
+            std::thread::spawn(move || {
+                let mut bytes = [0_u8; 16 * 1024];
+                while let Ok(count @ 1..) = from.read(&mut bytes) {
+                    if to.write_all(&bytes[..count]).is_err() {
+                        break;
+                    }
+                }
+                let _ = to.shutdown(std::net::Shutdown::Write);
+            });
+        }
+    }
+}
