--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod json;
 mod report;
+mod small_chunks;
 mod stale_helper;
 mod store;
 mod target;
@@ -28,6 +29,7 @@
     }
     let mut report = report::Report::new();
     let outcome = match &**case {
+        "small-chunks" => small_chunks::run(&scratch, has_trouble, &mut report),
         "stale-helper" => stale_helper::run(&scratch, has_trouble, &mut report),
         _ => Err(format!("no case {case}")),
     };
--- a/review/standins-2/src/stale_helper.rs
+++ b/review/standins-2/src/stale_helper.rs
@@ -8,7 +8,7 @@
 use crate::report::Report;
 use crate::store::Store;
 use crate::target::{Link, Manner, Runs, Target};
-use crate::vm::{Vm, loopback};
+use crate::vm::{Vm, loopback, wait_for};
 
 const ZONE: &str = "mu-north-a";
 
@@ -58,17 +58,6 @@
     }
 }
 
-fn wait_for(what: &str, limit: Duration, mut holds: impl FnMut() -> bool) -> Result<(), String> {
-    let deadline = Instant::now() + limit;
-    while !holds() {
-        if Instant::now() > deadline {
-            return Err(format!("waited in vain for {what}"));
-        }
-        std::thread::sleep(Duration::from_millis(20));
-    }
-    Ok(())
-}
-
 /// Returns whether the rule was broken.
 pub fn run(scratch: &Path, has_trouble: bool, report: &mut Report) -> Result<bool, String> {
     let runs: Runs = Arc::new(Mutex::new(Vec::new()));
--- a/review/standins-2/src/vm.rs
+++ b/review/standins-2/src/vm.rs
@@ -153,3 +153,19 @@
         }
     }
 }
+
+/// Waits until a condition holds.
+pub fn wait_for(
+    what: &str,
+    limit: Duration,
+    mut holds: impl FnMut() -> bool,
+) -> Result<(), String> {
+    let deadline = Instant::now() + limit;
+    while !holds() {
+        if Instant::now() > deadline {
+            return Err(format!("waited in vain for {what}"));
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    Ok(())
+}
