--- a/review/standins-2/src/target.rs
+++ b/review/standins-2/src/target.rs
@@ -17,8 +17,13 @@
     pub target: String,
     pub line: String,
     pub tenant: String,
+    /// Status of the target's answer.
+    pub status: u16,
 }
 
+/// Bytes of an extra answer that are sent: `HTTP/1.1 200 OK`.
+const CUT_BYTES: usize = 15;
+
 /// What all targets have run.
 pub type Runs = Arc<Mutex<Vec<Run>>>;
 
@@ -27,8 +32,14 @@
 pub enum Manner {
     /// With 200 and the signature.
     Sound,
-    /// With a failure of its own that doesn't state that the request has not run.
-    Failing(u16),
+    /// With 200, but one in `every` of the answers is 500; if it `has_extra` ones, the start of an extra answer comes before
+    /// that, on a connection that has had an answer.
+    Failing {
+        /// Answers of which one is a failure.
+        every: u64,
+        /// Whether extra answers begin.
+        has_extra: bool,
+    },
 }
 
 /// A running target.
@@ -39,6 +50,7 @@
     pub address: SocketAddr,
     work: Duration,
     manner: Manner,
+    answers: Arc<AtomicU64>,
     runs: Runs,
 }
 
@@ -58,6 +70,7 @@
             address: listener.local_addr().expect("an address"),
             work,
             manner,
+            answers: Arc::new(AtomicU64::new(1)),
             runs: Arc::clone(runs),
         };
         let served = target.clone();
@@ -80,15 +93,25 @@
     }
 
     fn serve(&self, mut connection: Connection) {
+        let mut previous: Option<Vec<u8>> = None;
         while let Ok(request) = connection.read(None) {
-            let answer = self.answer(&request);
-            if connection.write(&answer).is_err() {
+            let number = self.answers.fetch_add(1, Ordering::SeqCst);
+            let (fails, has_extra) = match self.manner {
+                Manner::Sound => (false, false),
+                Manner::Failing { every, has_extra } => (number % every == 0, has_extra),
+            };
+            let answer = self.answer(&request, fails);
+            // An extra copy of the answer before, which breaks off within its status line.
+            let copied = previous.as_ref().filter(|_| fails && has_extra);
+            let extra = copied.map_or(&[][..], |previous| &previous[..CUT_BYTES]);
+            if connection.write(&[extra, &answer].concat()).is_err() {
                 return;
             }
+            previous = Some(answer);
         }
     }
 
-    fn answer(&self, request: &Message) -> Vec<u8> {
+    fn answer(&self, request: &Message, fails: bool) -> Vec<u8> {
         let id = request.header("kumquatpond-attempt-id").unwrap_or_default();
         let load = "Kumquatpond-Server-Load: 1,0,4,100\r\nKeep-Alive: timeout=10\r\n";
         if request.target() == "/health" {
@@ -123,15 +146,17 @@
                 .header("kumquatpond-tenant-name")
                 .unwrap_or("-")
                 .to_owned(),
+            status: if fails { 500 } else { 200 },
         });
         std::thread::sleep(self.work);
         let body = format!("{} of {}\n", self.name, self.service);
-        let status = match self.manner {
-            Manner::Sound => 200,
-            Manner::Failing(status) => status,
+        let (status, reason) = if fails {
+            (500, "Internal Server Error")
+        } else {
+            (200, "OK")
         };
         format!(
-            "HTTP/1.1 {status} X\r\nKumquatpond-Attempt-Id: {id}\r\n\
+            "HTTP/1.1 {status} {reason}\r\nKumquatpond-Attempt-Id: {id}\r\n\
              Kumquatpond-Response-Signature: 3e1b.07.5a2.{}.0.c9f2a4d1\r\n{load}Content-Length: {}\r\n\r\n{body}",
             body.len(),
             body.len()
