--- a/review/standins-2/src/cut_extra.rs
+++ b/review/standins-2/src/cut_extra.rs
@@ -11,19 +11,19 @@
 use crate::target::{Link, Manner, Runs, Target};
 use crate::vm::{Vm, loopback, wait_for};
 
-const ZONE: &str = "mu-north-a";
+pub const ZONE: &str = "mu-north-a";
 
 /// One in this number of the answers of two targets is a failure, before which an extra answer begins; the site's dose of
 /// spoiled answers is 0.03.
 const FAULTY_EVERY: u64 = 34;
 
 /// Time for which callers send; the site's impairment lasts 5 s.
-const DURATION: Duration = Duration::from_secs(5);
+pub const DURATION: Duration = Duration::from_secs(5);
 
 /// Callers, each with one request at a time.
-const CALLERS: usize = 12;
+pub const CALLERS: usize = 12;
 
-const DESIRED_STATE: &str = concat!(
+pub const DESIRED_STATE: &str = concat!(
     r#"{"version":"r1","resources":["#,
     r#"{"resource-type":"routes","metadata":{"name":"booking"},"spec":{"host":"jepu9.example","#,
     r#""prefix":"/booking/","kind":"unsafe","timeout-s":0.6,"aim-s":0.25,"priority":1,"service":"desk","#,
@@ -36,15 +36,15 @@
 
 /// An answer that a caller got.
 #[derive(Clone, Debug)]
-struct Answer {
-    id: String,
-    sent_at: Instant,
-    got_at: Instant,
-    message: Option<Message>,
+pub struct Answer {
+    pub id: String,
+    pub sent_at: Instant,
+    pub got_at: Instant,
+    pub message: Option<Message>,
 }
 
 /// Sends requests on kept connections, one after the other.
-fn run_caller(vm: SocketAddr, caller: usize, until: Instant, answers: &Mutex<Vec<Answer>>) {
+pub fn run_caller(vm: SocketAddr, caller: usize, until: Instant, answers: &Mutex<Vec<Answer>>) {
     let mut kept: Option<Connection> = None;
     let mut number = 0;
     while Instant::now() < until {
@@ -76,23 +76,20 @@
     }
 }
 
-/// Returns whether the rule was broken.
-pub fn run(scratch: &Path, has_trouble: bool, report: &mut Report) -> Result<bool, String> {
-    let runs: Runs = Arc::new(Mutex::new(Vec::new()));
+/// Starts a VM with four targets, the first two of one manner, and sends requests for [`DURATION`].
+pub fn play(
+    scratch: &Path,
+    manner: Manner,
+    runs: &Runs,
+    report: &mut Report,
+) -> Result<Vec<Answer>, String> {
     let store = Store::start();
     let access = store.open_access(loopback(200));
     for number in 0..4 {
         let name = format!("i-{number}");
         let ip = loopback(100);
-        let manner = if number < 2 {
-            Manner::Failing {
-                every: FAULTY_EVERY,
-                has_extra: has_trouble,
-            }
-        } else {
-            Manner::Sound
-        };
-        let target = Target::start(&name, "desk", ip, Duration::from_millis(15), manner, &runs);
+        let manner = if number < 2 { manner } else { Manner::Sound };
+        let target = Target::start(&name, "desk", ip, Duration::from_millis(15), manner, runs);
         let key = format!("servers/{name}");
         access.add_link(&key, Link::start(ip, target.address).address);
         store.register(&key, &target.entry(ZONE));
@@ -102,9 +99,6 @@
     wait_for("the VM", Duration::from_secs(15), || vm.is_ready())?;
     std::thread::sleep(Duration::from_millis(500));
     report.line("the VM is ready");
-    if has_trouble {
-        report.line("TROUBLE: i-0 and i-1 send the start of an extra answer before one in 34 of their answers");
-    }
 
     let answers = Arc::new(Mutex::new(Vec::new()));
     let until = Instant::now() + DURATION;
@@ -118,11 +112,22 @@
     for caller in callers {
         let _ = caller.join();
     }
+    let answers = answers.lock().unwrap().clone();
+    Ok(answers)
+}
 
-    let (runs, answers) = (
-        runs.lock().unwrap().clone(),
-        answers.lock().unwrap().clone(),
-    );
+/// Returns whether the rule was broken.
+pub fn run(scratch: &Path, has_trouble: bool, report: &mut Report) -> Result<bool, String> {
+    let runs: Runs = Arc::new(Mutex::new(Vec::new()));
+    let manner = Manner::Failing {
+        every: FAULTY_EVERY,
+        has_extra: has_trouble,
+    };
+    if has_trouble {
+        report.line("TROUBLE: i-0 and i-1 send the start of an extra answer before one in 34 of their answers");
+    }
+    let answers = play(scratch, manner, &runs, report)?;
+    let runs = runs.lock().unwrap().clone();
     let mut wrong = 0;
     let failures = runs.iter().filter(|run| run.status == 500).count();
     for run in runs.iter().filter(|run| run.status == 500) {
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code, reason = "each case uses a part of the stand-ins")]
 
 mod cut_extra;
+mod cut_rejection;
 mod http;
 mod json;
 mod report;
@@ -31,6 +32,7 @@
     let mut report = report::Report::new();
     let outcome = match &**case {
         "cut-extra" => cut_extra::run(&scratch, has_trouble, &mut report),
+        "cut-rejection" => cut_rejection::run(&scratch, has_trouble, &mut report),
         "small-chunks" => small_chunks::run(&scratch, has_trouble, &mut report),
         "stale-helper" => stale_helper::run(&scratch, has_trouble, &mut report),
         _ => Err(format!("no case {case}")),
--- a/review/standins-2/src/target.rs
+++ b/review/standins-2/src/target.rs
@@ -24,6 +24,9 @@
 /// Bytes of an extra answer that are sent: `HTTP/1.1 200 OK`.
 const CUT_BYTES: usize = 15;
 
+/// Start of a rejection; an extra copy of one breaks off behind it.
+const CUT_REJECTION: &str = "HTTP/1.1 503 Service Unavailable\r\nKumquatpond-Not-Executed: 1";
+
 /// What all targets have run.
 pub type Runs = Arc<Mutex<Vec<Run>>>;
 
@@ -40,6 +43,14 @@
         /// Whether extra answers begin.
         has_extra: bool,
     },
+    /// With 200, but one in `every` requests is rejected without being run; if it `has_extra` ones, the start of an extra
+    /// copy of the rejection comes before the next answer on the connection.
+    Shedding {
+        /// Requests of which one is rejected.
+        every: u64,
+        /// Whether extra answers begin.
+        has_extra: bool,
+    },
 }
 
 /// A running target.
@@ -94,11 +105,29 @@
 
     fn serve(&self, mut connection: Connection) {
         let mut previous: Option<Vec<u8>> = None;
+        let mut rejection: Option<Vec<u8>> = None;
         while let Ok(request) = connection.read(None) {
             let number = self.answers.fetch_add(1, Ordering::SeqCst);
             let (fails, has_extra) = match self.manner {
                 Manner::Sound => (false, false),
                 Manner::Failing { every, has_extra } => (number % every == 0, has_extra),
+                Manner::Shedding { every, has_extra } => {
+                    let extra = rejection.take().filter(|_| has_extra);
+                    let is_rejected = number % every == 0;
+                    let answer = if is_rejected {
+                        self.reject(&request)
+                    } else {
+                        self.answer(&request, false)
+                    };
+                    rejection = is_rejected.then(|| answer[..CUT_REJECTION.len()].to_vec());
+                    if connection
+                        .write(&[extra.unwrap_or_default(), answer].concat())
+                        .is_err()
+                    {
+                        return;
+                    }
+                    continue;
+                }
             };
             let answer = self.answer(&request, fails);
             // An extra copy of the answer before, which breaks off within its status line.
@@ -111,6 +140,16 @@
         }
     }
 
+    /// Returns the answer of a target that is full, which doesn't run the request.
+    fn reject(&self, request: &Message) -> Vec<u8> {
+        let id = request.header("kumquatpond-attempt-id").unwrap_or_default();
+        format!(
+            "{CUT_REJECTION}\r\nKumquatpond-Attempt-Id: {id}\r\nKumquatpond-Server-Load: 4,4,4,100\r\n\
+             Keep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n"
+        )
+        .into_bytes()
+    }
+
     fn answer(&self, request: &Message, fails: bool) -> Vec<u8> {
         let id = request.header("kumquatpond-attempt-id").unwrap_or_default();
         let load = "Kumquatpond-Server-Load: 1,0,4,100\r\nKeep-Alive: timeout=10\r\n";
