--- a/review/standins-2/src/small_chunks.rs
+++ b/review/standins-2/src/small_chunks.rs
@@ -21,7 +21,7 @@
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 
 /// Connections that send small chunks at once; a VM has 4,100 descriptors.
-const SENDERS: usize = 200;
+const SENDERS: usize = 300;
 
 /// Time for which they send.
 const FLOOD: Duration = Duration::from_secs(6);
@@ -30,7 +30,7 @@
 const BODY_BYTES: usize = 8 * 1024 * 1024;
 
 /// Bytes a second that all senders together stay below; the VM's link carries 125 million.
-const MAX_RATE: f64 = 110_000_000.0;
+const MAX_RATE: f64 = 120_000_000.0;
 
 /// Ordinary callers, each with one request at a time.
 const CALLERS: usize = 10;
