--- a/review/standins-2/src/cut_extra.rs
+++ b/review/standins-2/src/cut_extra.rs
@@ -76,19 +76,25 @@
     }
 }
 
-/// Starts a VM with four targets, the first two of one manner, and sends requests for [`DURATION`].
+/// Starts a VM with targets, of which the first ones are of one manner, and sends requests for [`DURATION`].
 pub fn play(
     scratch: &Path,
     manner: Manner,
+    (of_manner, count): (usize, usize),
+    callers: usize,
     runs: &Runs,
     report: &mut Report,
 ) -> Result<Vec<Answer>, String> {
     let store = Store::start();
     let access = store.open_access(loopback(200));
-    for number in 0..4 {
+    for number in 0..count {
         let name = format!("i-{number}");
         let ip = loopback(100);
-        let manner = if number < 2 { manner } else { Manner::Sound };
+        let manner = if number < of_manner {
+            manner
+        } else {
+            Manner::Sound
+        };
         let target = Target::start(&name, "desk", ip, Duration::from_millis(15), manner, runs);
         let key = format!("servers/{name}");
         access.add_link(&key, Link::start(ip, target.address).address);
@@ -103,7 +109,7 @@
     let answers = Arc::new(Mutex::new(Vec::new()));
     let until = Instant::now() + DURATION;
     let address = vm.caller_address;
-    let callers: Vec<_> = (0..CALLERS)
+    let callers: Vec<_> = (0..callers)
         .map(|caller| {
             let answers = Arc::clone(&answers);
             std::thread::spawn(move || run_caller(address, caller, until, &answers))
@@ -126,7 +132,7 @@
     if has_trouble {
         report.line("TROUBLE: i-0 and i-1 send the start of an extra answer before one in 34 of their answers");
     }
-    let answers = play(scratch, manner, &runs, report)?;
+    let answers = play(scratch, manner, (2, 4), CALLERS, &runs, report)?;
     let runs = runs.lock().unwrap().clone();
     let mut wrong = 0;
     let failures = runs.iter().filter(|run| run.status == 500).count();
--- a/review/standins-2/src/cut_rejection.rs
+++ b/review/standins-2/src/cut_rejection.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 
-use crate::cut_extra::play;
+use crate::cut_extra::{CALLERS, play};
 use crate::report::Report;
 use crate::target::{Manner, Runs};
 
@@ -21,7 +21,7 @@
     if has_trouble {
         report.line("TROUBLE: i-0 and i-1 send the start of an extra rejection before one in 34 of their answers");
     }
-    let answers = play(scratch, manner, &runs, report)?;
+    let answers = play(scratch, manner, (2, 4), CALLERS, &runs, report)?;
     let runs = runs.lock().unwrap().clone();
     let mut twice = 0;
     for answer in &answers {
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod json;
 mod report;
+mod run_503;
 mod small_chunks;
 mod stale_helper;
 mod store;
@@ -33,6 +34,7 @@
     let outcome = match &**case {
         "cut-extra" => cut_extra::run(&scratch, has_trouble, &mut report),
         "cut-rejection" => cut_rejection::run(&scratch, has_trouble, &mut report),
+        "run-503" => run_503::run(&scratch, has_trouble, &mut report),
         "small-chunks" => small_chunks::run(&scratch, has_trouble, &mut report),
         "stale-helper" => stale_helper::run(&scratch, has_trouble, &mut report),
         _ => Err(format!("no case {case}")),
--- a/review/standins-2/src/target.rs
+++ b/review/standins-2/src/target.rs
@@ -43,6 +43,9 @@
         /// Whether extra answers begin.
         has_extra: bool,
     },
+    /// With 200, but 45 of 100 requests fail after they have run: with this status and the signature, and without the header
+    /// that states that a request has not run.
+    FailingAs(u16),
     /// With 200, but one in `every` requests is rejected without being run; if it `has_extra` ones, the start of an extra
     /// copy of the rejection comes before the next answer on the connection.
     Shedding {
@@ -62,6 +65,7 @@
     work: Duration,
     manner: Manner,
     answers: Arc<AtomicU64>,
+    runs_begun: Arc<AtomicU64>,
     runs: Runs,
 }
 
@@ -82,6 +86,7 @@
             work,
             manner,
             answers: Arc::new(AtomicU64::new(1)),
+            runs_begun: Arc::default(),
             runs: Arc::clone(runs),
         };
         let served = target.clone();
@@ -109,7 +114,7 @@
         while let Ok(request) = connection.read(None) {
             let number = self.answers.fetch_add(1, Ordering::SeqCst);
             let (fails, has_extra) = match self.manner {
-                Manner::Sound => (false, false),
+                Manner::Sound | Manner::FailingAs(_) => (false, false),
                 Manner::Failing { every, has_extra } => (number % every == 0, has_extra),
                 Manner::Shedding { every, has_extra } => {
                     let extra = rejection.take().filter(|_| has_extra);
@@ -175,6 +180,12 @@
             )
             .into_bytes();
         }
+        let number = self.runs_begun.fetch_add(1, Ordering::SeqCst);
+        let (status, reason) = match self.manner {
+            Manner::FailingAs(status) if number * 45 % 100 < 45 => (status, "Service Unavailable"),
+            _ if fails => (500, "Internal Server Error"),
+            _ => (200, "OK"),
+        };
         self.runs.lock().unwrap().push(Run {
             at: Instant::now(),
             id: id.to_owned(),
@@ -185,15 +196,10 @@
                 .header("kumquatpond-tenant-name")
                 .unwrap_or("-")
                 .to_owned(),
-            status: if fails { 500 } else { 200 },
+            status,
         });
         std::thread::sleep(self.work);
         let body = format!("{} of {}\n", self.name, self.service);
-        let (status, reason) = if fails {
-            (500, "Internal Server Error")
-        } else {
-            (200, "OK")
-        };
         format!(
             "HTTP/1.1 {status} {reason}\r\nKumquatpond-Attempt-Id: {id}\r\n\
              Kumquatpond-Response-Signature: 3e1b.07.5a2.{}.0.c9f2a4d1\r\n{load}Content-Length: {}\r\n\r\n{body}",
