--- a/review/standins-2/src/vm.rs
+++ b/review/standins-2/src/vm.rs
@@ -23,20 +23,20 @@
     child: Option<Child>,
 }
 
-fn free_port(ip: IpAddr) -> u16 {
-    let listener = TcpListener::bind((ip, 0)).expect("a free port");
-    listener.local_addr().expect("an address").port()
-}
-
-/// Returns the first of two ports, 15 apart, that are free for TCP and UDP.
-fn free_port_pair(ip: IpAddr) -> u16 {
+/// Returns ports that are free for TCP and UDP: those of callers and readiness checks, and the first of two that are 15
+/// apart. All are held until they are chosen, so that no two are the same.
+fn free_ports(ip: IpAddr) -> (u16, u16, u16) {
     loop {
-        let port = free_port(ip);
-        let is_free = |port: u16| {
-            TcpListener::bind((ip, port)).is_ok() && UdpSocket::bind((ip, port)).is_ok()
-        };
-        if port < 65_000 && is_free(port) && is_free(port + 15) {
-            return port;
+        let [front, ready, internal] =
+            [(); 3].map(|()| TcpListener::bind((ip, 0)).expect("a free port"));
+        let port = |listener: &TcpListener| listener.local_addr().expect("an address").port();
+        let (front, ready, first) = (port(&front), port(&ready), port(&internal));
+        let is_free = first < 65_000
+            && UdpSocket::bind((ip, first)).is_ok()
+            && TcpListener::bind((ip, first + 15)).is_ok()
+            && UdpSocket::bind((ip, first + 15)).is_ok();
+        if is_free {
+            return (front, ready, first);
         }
     }
 }
@@ -51,7 +51,7 @@
     pub fn start(folder: &Path, number: u8, zone: &str, store: &Access, bootstrap: bool) -> Self {
         let ip = loopback(number);
         let name = format!("front-{zone}-{number}");
-        let (front, ready, internal) = (free_port(ip), free_port(ip), free_port_pair(ip));
+        let (front, ready, internal) = free_ports(ip);
         let settings = format!(
             "grants=call\nself.node-name={name}\nself.role=router\nself.machine-class=front\nself.serves=front\n\
              self.ip={ip}\nself.zone={zone}\nself.region=mu-north\nself.in-tolerance=false\n\
