Bound the processor time of callers' input, for all connections together

Cause: budgets on the event loop counted bytes, not work. A task gave way after some 128 KB, which is more than 20,000 chunks of one byte, and all connections had such a budget in each round of the loop. With the connections that had been accepted, one round took seconds on a throttled core; one connection is accepted and one step of a request is made in a round. The connections of the crowd were not accepted either: some 40 of 100 were in the 120 s of the test.

Memory was ruled out (peak 15 MB of 60), and so were descriptors (57).

Each connection now counts the work of its input. A request whose work exceeds what an ordinary one takes waits for a turn, of which there is one on the VM; a turn is a fraction of a millisecond, and everything else runs between two turns. The order (crates/kumquat-coordination/src/fleet/input.rs) alternates between the least work and the longest wait. Work is counted rather than timed, so that nothing depends on the speed or the share of the core.

Trailers that arrive byte by byte were parsed from their start with each packet; the work of that is counted as well.

--- a/crates/kumquat-coordination/src/fleet.rs
+++ b/crates/kumquat-coordination/src/fleet.rs
@@ -9,6 +9,7 @@
 mod budget;
 mod fingerprint;
 mod helpers;
+pub mod input;
 pub mod intake;
 mod membership;
 mod ownership;
--- a/crates/kumquat-router/src/caller/connection.rs
+++ b/crates/kumquat-router/src/caller/connection.rs
@@ -52,7 +52,7 @@
     origin: Origin,
     account: Rc<Account>,
 ) -> Result<()> {
-    http.set_hold(Hold::new(Rc::clone(&account)));
+    http.set_bounds(Hold::new(Rc::clone(&account)), vm.input.meter());
     let mut connection = CallerConnection {
         vm,
         http,
@@ -156,6 +156,7 @@
             () = self.account.evicted() => Ok(Err(Error::Exhausted)),
             received = timeout(limits.receive_timeout, request) => received,
         };
+        http.end_request_input();
         match received {
             Ok(Ok(request)) => {
                 // Remaining bytes in the buffer arrived with the end of this request.
--- a/crates/kumquat-router/src/http/body.rs
+++ b/crates/kumquat-router/src/http/body.rs
@@ -201,6 +201,8 @@
 
 /// Discards the trailer fields after the last chunk; returns whether they were complete.
 fn skip_trailers(connection: &mut HttpConnection) -> Result<bool> {
+    // Trailers that arrive byte by byte are parsed from their start each time.
+    connection.count_work(connection.unread().len());
     let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
     match httparse::parse_headers(connection.unread(), &mut fields) {
         Ok(httparse::Status::Complete((length, _))) => {
--- a/crates/kumquat-router/src/http/connection.rs
+++ b/crates/kumquat-router/src/http/connection.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use kumquat_coordination::fleet::input::ELEMENT_WORK;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::coop::consume_budget;
@@ -14,6 +15,7 @@
 use super::segments::Body;
 use super::{Framing, MAX_HEADERS, MAX_RESPONSE_HEAD_BYTES, RequestHead, ResponseHead, to_headers};
 use crate::errors::{Error, Result};
+use crate::input::Meter;
 use crate::intake::Hold;
 
 mod write;
@@ -86,6 +88,8 @@
     has_had_response: bool,
     // What the buffer takes of the memory for callers; absent on connections to upstreams.
     hold: Option<Hold>,
+    // The work of the input; absent on connections to upstreams.
+    meter: Option<Meter>,
 }
 
 impl HttpConnection {
@@ -107,6 +111,7 @@
             has_discarded_input: false,
             has_had_response: false,
             hold: None,
+            meter: None,
         }
     }
 
@@ -126,9 +131,31 @@
         Ok(connection)
     }
 
-    /// Counts the memory of the connection's buffer from now on.
-    pub fn set_hold(&mut self, hold: Hold) {
+    /// Counts the memory of the connection's buffer and the work of its input from now on.
+    pub fn set_bounds(&mut self, hold: Hold, meter: Meter) {
         self.hold = Some(hold);
+        self.meter = Some(meter);
+    }
+
+    /// Ends the input of a request, whether it was complete or not; other connections may then process theirs.
+    pub fn end_request_input(&mut self) {
+        if let Some(meter) = &mut self.meter {
+            meter.end_request();
+        }
+    }
+
+    /// Counts work of the input beyond that of reading it.
+    pub(super) fn count_work(&mut self, work: usize) {
+        if let Some(meter) = &mut self.meter {
+            meter.count(work);
+        }
+    }
+
+    /// Ends the turn of this connection, which nothing may wait with.
+    fn end_turn(&mut self) {
+        if let Some(meter) = &mut self.meter {
+            meter.end_turn();
+        }
     }
 
     /// Drops the unread input and the memory that it takes.
@@ -228,6 +255,12 @@
     ///
     /// Input beyond a limit is discarded, so that buffering is bounded and a close is still detected.
     pub async fn read_ahead(&mut self) -> bool {
+        let is_open = self.read_ahead_or_discard().await;
+        self.end_turn();
+        is_open
+    }
+
+    async fn read_ahead_or_discard(&mut self) -> bool {
         if self.buffer.len() >= MAX_READ_AHEAD_BYTES || self.has_discarded_input {
             return self.discard_ahead().await;
         }
@@ -254,11 +287,10 @@
     /// Reads and discards bytes without holding a buffer; returns their number, 0 at the end of the stream.
     async fn discard(&mut self) -> Result<usize> {
         loop {
-            self.charge().await;
-            self.stream.readable().await?;
+            self.wait_for_input().await?;
             match self.stream.try_read(&mut [0_u8; MAX_DISCARD_BYTES]) {
                 Ok(count) => {
-                    self.uncharged_bytes += count;
+                    self.count_read(count);
                     return Ok(count);
                 }
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
@@ -280,6 +312,33 @@
         }
     }
 
+    /// Counts bytes that were read towards the budget of the task and the work of the connection.
+    fn count_read(&mut self, bytes: usize) {
+        self.uncharged_bytes += bytes;
+        if let Some(meter) = &mut self.meter {
+            meter.count_read(bytes);
+        }
+    }
+
+    /// Waits until there is input and this connection may process it.
+    ///
+    /// A turn that has begun is kept only while there is more input.
+    async fn wait_for_input(&mut self) -> Result<()> {
+        self.charge().await;
+        std::future::poll_fn(|context| {
+            let ready = self.stream.poll_read_ready(context);
+            if ready.is_pending() {
+                self.end_turn();
+            }
+            ready
+        })
+        .await?;
+        if let Some(meter) = &mut self.meter {
+            meter.admit().await;
+        }
+        Ok(())
+    }
+
     /// Reads once, with buffer space for at least `min_bytes`; returns the number of bytes, 0 at the end of the stream.
     pub(super) async fn fill_buffer(&mut self, min_bytes: usize) -> Result<usize> {
         self.fill_counted(min_bytes, Hold::set).await
@@ -292,14 +351,13 @@
         count: impl Fn(&mut Hold, usize) -> Result<()>,
     ) -> Result<usize> {
         loop {
-            self.charge().await;
-            self.stream.readable().await?;
+            self.wait_for_input().await?;
             if let Some(hold) = &mut self.hold {
                 count(hold, self.buffer.capacity_with(min_bytes))?;
             }
             match self.stream.try_read_buf(self.buffer.reserve(min_bytes)) {
                 Ok(count) => {
-                    self.uncharged_bytes += count;
+                    self.count_read(count);
                     return Ok(count);
                 }
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
@@ -504,6 +562,7 @@
             reader
                 .read_element(self, segment, room.min(max_read_bytes))
                 .await?;
+            self.count_work(ELEMENT_WORK);
             if body.len() > max_bytes {
                 return Err(Error::TooLarge("body"));
             }
--- a/crates/kumquat-router/src/lib.rs
+++ b/crates/kumquat-router/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod explain;
 pub mod gateway;
 pub mod http;
+pub mod input;
 pub mod intake;
 pub mod metrics;
 pub mod peers;
--- a/crates/kumquat-router/src/metrics.rs
+++ b/crates/kumquat-router/src/metrics.rs
@@ -195,6 +195,10 @@
     pub evictions: IntCounterVec,
     /// Requests and connections rejected for lack of room, by reason.
     pub rejections: IntCounterVec,
+    /// Connections that wait for their turn to process large input.
+    pub waiting_connections: IntGauge,
+    /// Turns in which connections processed large input.
+    pub turns: IntCounter,
 }
 
 impl IntakeMetrics {
@@ -218,6 +222,14 @@
                 "Requests and connections rejected for lack of room.",
                 &["reason"],
             )?,
+            waiting_connections: registrar.gauge(
+                "kumquat_vm_input_waiting_connections",
+                "Connections that wait for their turn to process large input.",
+            )?,
+            turns: registrar.total(
+                "kumquat_vm_input_turns_total",
+                "Turns in which connections processed large input.",
+            )?,
         })
     }
 }
--- a/crates/kumquat-router/src/vm.rs
+++ b/crates/kumquat-router/src/vm.rs
@@ -16,6 +16,7 @@
 use crate::access_log::AccessLog;
 use crate::config::{Config, Route};
 use crate::dialect::Dialect;
+use crate::input::Schedule;
 use crate::intake::Ledger;
 use crate::metrics::Metrics;
 use crate::pool::ConnectionPool;
@@ -105,6 +106,8 @@
     pub metrics: Metrics,
     /// What callers' connections hold in memory.
     pub intake: Rc<Ledger>,
+    /// Turns of connections with large input.
+    pub input: Rc<Schedule>,
     /// Idle connections to upstreams.
     pub pool: RefCell<ConnectionPool>,
     /// Notified when a peer reports a newer store revision than this VM has read.
@@ -133,6 +136,7 @@
     ) -> Rc<Self> {
         let request_log = AccessLog::new(log.clone(), metrics.clone());
         let intake = Ledger::new(metrics.clone(), log.clone());
+        let input = Schedule::new(metrics.clone());
         let mut state = State::default();
         state.table.set_local_data_centre(&identity.data_centre);
         state.table.set_limit_seed(identity.incarnation);
@@ -147,6 +151,7 @@
             request_log,
             metrics,
             intake,
+            input,
             pool: RefCell::default(),
             behind_peers: Notify::new(),
             peer_joined: Notify::new(),
--- a/crates/kumquat-router/tests/intake.rs
+++ b/crates/kumquat-router/tests/intake.rs
@@ -64,6 +64,31 @@
     });
 }
 
+/// Guards against a turn for large input that is kept by a connection which sends nothing more or is closed.
+#[test]
+fn chunks_of_one_byte_are_served_beside_connections_that_stall_or_end() {
+    run_local_test(async {
+        let upstream = ScriptedUpstream::bind(&[UpstreamAction::Answer("one")]).await;
+        let router = start_router(&[&upstream]);
+        let body = varied_body(60_000);
+        let head = request("POST", "/safe/a", "t1");
+        let head = head.replace("Host:", "Transfer-Encoding: chunked\r\nHost:");
+        let chunk = |byte| ["1\r\n", byte, "\r\n"].concat();
+        let chunks: String = body.split_inclusive(|_| true).map(chunk).collect();
+        let unfinished = format!("{head}{chunks}");
+        let mut open = Vec::new();
+        for _ in 0..20 {
+            drop(start_request(&router, &unfinished).await);
+            open.push(start_request(&router, &unfinished).await);
+        }
+
+        let response = send_request(router.address, &format!("{unfinished}0\r\n\r\n")).await;
+
+        assert_eq!(status(&response), 200, "{response}");
+        assert!(upstream.requests()[0].ends_with(&format!("\r\n\r\n{body}")));
+    });
+}
+
 /// Guards against an evicted request that is sent to an upstream, or whose caller is not told that it was not.
 #[test]
 fn a_request_that_stops_short_is_rejected_when_another_needs_its_memory() {
