Bound memory, connections and time of each listener on its own

Clients outside the limits that reach the address for readiness checks, or the first internal port with metrics and pages for other VMs, could end the process: these listeners kept what they received and the pages that were not read without any bound. With 60 bodies of 1 MB that stop one byte short, a VM of 24 MB came to 61 MB on either address; with 2,000 connections that do not read their pages to 36 MB; with 500 idle connections to 519 descriptors of 320. The second internal port, where other VMs forward requests, shared the bounds of callers, so that a crowd at one of the two addresses evicted requests of the other.

Cause: only connections to the callers' listener and to that for other VMs had accounts. The others accepted any number of connections, read bodies of up to 1 MB that no page uses, and wrote responses without a time limit.

Each listener now has an intake of its own, with a share of the VM's memory and descriptors. The metrics kumquat_vm_intake_* get a label `listener`.

A budget for requests of other VMs that always holds the largest request would not fit beside the callers' one into 120 MB with bodies of 64 MB, so it is raised to a quarter of the memory at most.

--- a/crates/kumquat-coordination/src/fleet/intake.rs
+++ b/crates/kumquat-coordination/src/fleet/intake.rs
@@ -1,20 +1,45 @@
-//! The `intake` module provides the bounds on the memory and the connections that a VM spends on its callers.
+//! The `intake` module provides the bounds on the memory and the connections that a VM spends on those who connect to it.
 //!
 //! Callers may send and read as slowly as they like, so that the number of requests that are under way is not bounded by
-//! the rate at which they arrive. See `docs/design/intake.md`.
+//! the rate at which they arrive. Each listener has bounds of its own, so that a crowd at one of them does not keep the
+//! others from serving. See `docs/design/intake.md`.
 
 use kumquat_state::clock::Instant;
 
-/// Byte budget of a VM whose memory is not stated.
-const DEFAULT_BUDGET_BYTES: usize = 64 * 1024 * 1024;
+/// Memory of a VM that does not state it, in bytes.
+const DEFAULT_MEMORY_BYTES: usize = 256 * 1024 * 1024;
 
-/// Connections of a VM whose descriptors are not stated.
-const DEFAULT_MAX_CONNECTIONS: usize = 4_096;
+/// Descriptors of a VM that does not state them; with them it accepts 4,096 callers.
+const DEFAULT_DESCRIPTORS: usize = 7_027;
 
-/// Part of a VM's memory that callers' requests and responses may take.
+/// Part of a VM's memory that the requests of callers and the responses to them may take.
 ///
-/// The rest holds the tables of the deployment, connections to upstreams and the tasks of requests.
-const BUDGET_DIVISOR: usize = 4;
+/// The parts of all listeners leave the rest for the tables of the deployment, connections to upstreams and tasks.
+const CALLERS_BUDGET_DIVISOR: usize = 4;
+
+/// Part of a VM's memory for requests that other VMs forward.
+const PEERS_BUDGET_DIVISOR: usize = 8;
+
+/// Part of a VM's memory up to which that budget is raised for the largest request.
+const MAX_PEERS_BUDGET_DIVISOR: usize = 4;
+
+/// Part of a VM's memory for pages, among them changes of the desired state that many other VMs ask for at once.
+const ADMIN_BUDGET_DIVISOR: usize = 6;
+
+/// Part of a VM's memory for readiness checks.
+const READINESS_BUDGET_DIVISOR: usize = 64;
+
+/// Part of the descriptors for connections on which other VMs forward requests.
+const PEERS_CONNECTIONS_DIVISOR: usize = 10;
+
+/// Part of the descriptors for connections that ask for pages.
+const ADMIN_CONNECTIONS_DIVISOR: usize = 16;
+
+/// Part of the descriptors for readiness checks.
+const READINESS_CONNECTIONS_DIVISOR: usize = 64;
+
+/// Smallest number of connections of a listener other than that for callers.
+const MIN_INTERNAL_CONNECTIONS: usize = 4;
 
 /// Descriptors that are reserved for files and the listeners.
 const RESERVED_DESCRIPTORS: usize = 200;
@@ -31,31 +56,85 @@
 /// Part of the maximum number of connections by which those that are being closed may exceed it.
 const CLOSING_DIVISOR: usize = 8;
 
-/// Bounds of one VM.
+/// A listener of a VM, by those who connect to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Bounds {
-    /// Bytes that all connections may hold together.
-    pub budget_bytes: usize,
-    /// Largest number of callers' connections.
-    pub max_connections: usize,
+pub enum Listener {
+    /// Callers.
+    Callers,
+    /// Other VMs, which forward requests of their callers.
+    Peers,
+    /// Monitoring and other VMs, which ask for pages.
+    Admin,
+    /// Load balancers, which check whether the VM is ready.
+    Readiness,
 }
 
-impl Bounds {
-    /// Returns the bounds of a VM with this memory and this number of descriptors, as far as they are stated.
+impl Listener {
+    /// Returns the name in logs and metrics.
     #[must_use]
-    pub fn new(memory_bytes: Option<usize>, descriptors: Option<usize>) -> Self {
-        let connections = |descriptors: usize| {
-            let available = descriptors.saturating_sub(RESERVED_DESCRIPTORS);
-            (available.saturating_mul(3) / 5).max(1)
-        };
-        Self {
-            budget_bytes: memory_bytes
-                .map_or(DEFAULT_BUDGET_BYTES, |memory| memory / BUDGET_DIVISOR),
-            max_connections: descriptors.map_or(DEFAULT_MAX_CONNECTIONS, connections),
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Callers => "callers",
+            Self::Peers => "peers",
+            Self::Admin => "admin",
+            Self::Readiness => "readiness",
         }
     }
 }
 
+/// What a VM has, as far as it is stated.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Capacity {
+    /// Memory in bytes.
+    pub memory_bytes: Option<usize>,
+    /// File descriptors.
+    pub descriptors: Option<usize>,
+}
+
+impl Capacity {
+    /// Returns the bounds of a listener.
+    #[must_use]
+    pub fn bounds(&self, listener: Listener) -> Bounds {
+        let memory = self.memory_bytes.unwrap_or(DEFAULT_MEMORY_BYTES);
+        let descriptors = self.descriptors.unwrap_or(DEFAULT_DESCRIPTORS);
+        let available = descriptors.saturating_sub(RESERVED_DESCRIPTORS);
+        let internal = |divisor: usize| (available / divisor).max(MIN_INTERNAL_CONNECTIONS);
+        match listener {
+            Listener::Callers => Bounds {
+                budget_bytes: memory / CALLERS_BUDGET_DIVISOR,
+                max_budget_bytes: usize::MAX,
+                max_connections: (available.saturating_mul(3) / 5).max(1),
+            },
+            Listener::Peers => Bounds {
+                budget_bytes: memory / PEERS_BUDGET_DIVISOR,
+                max_budget_bytes: memory / MAX_PEERS_BUDGET_DIVISOR,
+                max_connections: internal(PEERS_CONNECTIONS_DIVISOR),
+            },
+            Listener::Admin => Bounds {
+                budget_bytes: memory / ADMIN_BUDGET_DIVISOR,
+                max_budget_bytes: memory / ADMIN_BUDGET_DIVISOR,
+                max_connections: internal(ADMIN_CONNECTIONS_DIVISOR),
+            },
+            Listener::Readiness => Bounds {
+                budget_bytes: memory / READINESS_BUDGET_DIVISOR,
+                max_budget_bytes: memory / READINESS_BUDGET_DIVISOR,
+                max_connections: internal(READINESS_CONNECTIONS_DIVISOR),
+            },
+        }
+    }
+}
+
+/// Bounds of one listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Bytes that all connections may hold together.
+    pub budget_bytes: usize,
+    /// Bytes up to which the budget is raised so that the largest request fits.
+    pub max_budget_bytes: usize,
+    /// Largest number of connections.
+    pub max_connections: usize,
+}
+
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Activity {
@@ -102,7 +181,7 @@
     }
 }
 
-/// Connections of callers, with what each holds.
+/// Connections of a listener, with what each holds.
 #[derive(Clone, Debug)]
 pub struct Intake {
     bounds: Bounds,
@@ -116,7 +195,7 @@
 }
 
 impl Intake {
-    /// Creates the state of a VM without connections.
+    /// Creates the state of a listener without connections.
     #[must_use]
     pub const fn new(bounds: Bounds) -> Self {
         Self {
@@ -129,7 +208,7 @@
         }
     }
 
-    /// Sets the bounds of the VM.
+    /// Sets the bounds of the listener.
     pub const fn set_bounds(&mut self, bounds: Bounds) {
         self.bounds = bounds;
     }
@@ -146,7 +225,8 @@
             .largest_request_bytes
             .saturating_add(BUFFER_SLACK_BYTES);
         let with_reserve = largest.saturating_add(largest / (RESERVE_DIVISOR - 1) + 1);
-        self.bounds.budget_bytes.max(with_reserve)
+        let raised = with_reserve.min(self.bounds.max_budget_bytes);
+        self.bounds.budget_bytes.max(raised)
     }
 
     /// Returns the bytes that the connections hold, without those that are being closed.
--- a/crates/kumquat-coordination/tests/fleet_intake.rs
+++ b/crates/kumquat-coordination/tests/fleet_intake.rs
@@ -1,8 +1,15 @@
 //! Tests which connections a VM closes, and which requests it rejects, to stay within its memory and descriptors.
 
-use kumquat_coordination::fleet::intake::{Activity, Bounds, Eviction, Intake};
+use kumquat_coordination::fleet::intake::{Activity, Bounds, Capacity, Eviction, Intake, Listener};
 use kumquat_state::clock::Instant;
 
+const LISTENERS: [Listener; 4] = [
+    Listener::Callers,
+    Listener::Peers,
+    Listener::Admin,
+    Listener::Readiness,
+];
+
 /// Budget of the tests; an eighth of it is kept for small holdings.
 const BUDGET: usize = 800_000;
 
@@ -10,6 +17,7 @@
 fn intake(max_connections: usize, connections: &[(Activity, usize)]) -> Intake {
     let mut intake = Intake::new(Bounds {
         budget_bytes: BUDGET,
+        max_budget_bytes: usize::MAX,
         max_connections,
     });
     for (millis, (activity, bytes)) in (0..).zip(connections) {
@@ -31,11 +39,19 @@
         .collect()
 }
 
+/// Returns the capacity of a VM.
+fn capacity(memory_mb: usize, descriptors: usize) -> Capacity {
+    Capacity {
+        memory_bytes: Some(memory_mb << 20),
+        descriptors: Some(descriptors),
+    }
+}
+
 /// Guards against bounds that leave too little memory or too few descriptors for anything but callers.
 #[test]
 fn bounds_follow_from_memory_and_descriptors() {
-    let stated = Bounds::new(Some(120 << 20), Some(4_100));
-    let unstated = Bounds::new(None, None);
+    let stated = capacity(120, 4_100).bounds(Listener::Callers);
+    let unstated = Capacity::default().bounds(Listener::Callers);
 
     assert_eq!(
         (stated.budget_bytes, stated.max_connections),
@@ -47,10 +63,35 @@
     );
 }
 
+/// Guards against listeners that together take what the upstreams and the tables of a VM need.
+#[test]
+fn all_listeners_together_leave_memory_and_descriptors() {
+    for (memory_mb, descriptors) in [(24, 320), (120, 3_075), (160, 4_100), (512, 8_192)] {
+        let capacity = capacity(memory_mb, descriptors);
+        let (mut bytes, mut connections) = (0, 0);
+        for listener in LISTENERS {
+            let bounds = capacity.bounds(listener);
+            bytes += bounds.budget_bytes;
+            // An eighth more may be closing.
+            connections += bounds.max_connections + bounds.max_connections / 8;
+        }
+
+        assert!(
+            bytes <= (memory_mb << 20) * 3 / 5,
+            "{bytes} of {memory_mb} MB"
+        );
+        let available = descriptors - 200;
+        assert!(
+            connections <= available * 9 / 10,
+            "{connections} of {available}"
+        );
+    }
+}
+
 /// Guards against a VM on which the largest legal request is never served.
 #[test]
 fn the_largest_request_fits_whatever_the_memory() {
-    let mut intake = Intake::new(Bounds::new(Some(1 << 20), None));
+    let mut intake = Intake::new(capacity(1, 4_100).bounds(Listener::Callers));
     intake.set_largest_request(3_000_000);
     let (id, _) = intake.open(at(0)).expect("room");
 
--- a/crates/kumquat-router/src/caller.rs
+++ b/crates/kumquat-router/src/caller.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use kumquat_coordination::fleet::intake::Listener;
 use kumquat_state::clock::{self, Instant};
 use slog::{info, warn};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -67,6 +68,15 @@
     Peer,
 }
 
+impl Origin {
+    const fn listener(self) -> Listener {
+        match self {
+            Self::Caller => Listener::Callers,
+            Self::Peer => Listener::Peers,
+        }
+    }
+}
+
 /// Serves callers until the VM shuts down and all connections have ended, or the time to drain them has passed.
 pub async fn serve(vm: Rc<Vm>, listener: TcpListener, origin: Origin) {
     // Each connection holds a clone, so that the reference count tells how many are open.
@@ -108,7 +118,7 @@
     match accepted {
         Ok((stream, _)) => {
             // A connection that is dropped here has not been read, so that its caller may try again at once.
-            let Some(account) = vm.intake.open() else {
+            let Some(account) = vm.intake.get(origin.listener()).open() else {
                 return;
             };
             let (vm, open_connections) = (Rc::clone(vm), Rc::clone(open_connections));
--- a/crates/kumquat-router/src/caller/connection.rs
+++ b/crates/kumquat-router/src/caller/connection.rs
@@ -30,7 +30,7 @@
 /// Time within which a caller has to accept a response that is completely in memory.
 ///
 /// Such a response has at most 16 KB, so only a caller that hardly reads at all needs longer.
-const RESPONSE_WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+pub(super) const RESPONSE_WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Memory of a response that is relayed while it arrives: a part of it, and the buffer of the upstream's connection.
 const STREAM_BYTES: usize = 2 * BUFFERED_BODY_BYTES;
@@ -147,28 +147,10 @@
                 return Ok(None);
             },
         }
-        self.account.set_activity(Activity::Receiving);
-        let http = &mut self.http;
-        let hold = Hold::new(Rc::clone(&self.account));
-        let request = read_request(http, limits, received_at, Some(hold));
-        let received = tokio::select! {
-            biased;
-            () = self.account.evicted() => Ok(Err(Error::Exhausted)),
-            received = timeout(limits.receive_timeout, request) => received,
-        };
-        http.end_request_input();
-        match received {
-            Ok(Ok(request)) => {
-                // Remaining bytes in the buffer arrived with the end of this request.
-                self.last_read_at = clock::now();
-                Ok(Some(request))
-            }
-            Ok(Err(error)) => reject(http, &error).await.map(|()| None),
-            Err(_elapsed) => {
-                let response = Response::local(408, "the request did not arrive in time");
-                respond_and_close(http, &response).await.map(|()| None)
-            }
-        }
+        let received = receive(&mut self.http, &self.account, limits, received_at).await?;
+        // Remaining bytes in the buffer arrived with the end of this request.
+        self.last_read_at = clock::now();
+        Ok(received)
     }
 
     /// Starts a task that serves a request, whose response is counted by `hold`.
@@ -299,19 +281,13 @@
         Ok(stays_open)
     }
 
-    /// Writes a part of a response within a time limit; returns false if the limit passes or the connection is evicted.
+    /// Writes a part of a response as [`write_within`] does.
     async fn write_part(&mut self, parts: &[&[u8]], limit: Duration) -> Result<bool> {
-        self.account.set_activity(Activity::Responding);
-        tokio::select! {
-            biased;
-            () = self.account.evicted() => return Ok(false),
-            written = timeout(limit, self.http.write_parts(parts)) => match written {
-                Ok(written) => written?,
-                Err(_elapsed) => return Ok(false),
-            },
+        let is_written = write_within(&mut self.http, &self.account, parts, limit).await?;
+        if is_written {
+            self.account.set_activity(Activity::Serving);
         }
-        self.account.set_activity(Activity::Serving);
-        Ok(true)
+        Ok(is_written)
     }
 
     /// Returns whether further requests may be read from the connection.
@@ -420,20 +396,65 @@
     }
 }
 
+/// Reads a complete request within the limits; returns `None` if it was rejected and the connection is to be closed.
+///
+/// `received_at` is as for [`read_request`].
+pub(super) async fn receive(
+    http: &mut HttpConnection,
+    account: &Rc<Account>,
+    limits: &RequestLimits,
+    received_at: Option<Instant>,
+) -> Result<Option<(ReceivedRequest, bool)>> {
+    account.set_activity(Activity::Receiving);
+    let hold = Hold::new(Rc::clone(account));
+    let request = read_request(http, limits, received_at, hold);
+    let received = tokio::select! {
+        biased;
+        () = account.evicted() => Ok(Err(Error::Exhausted)),
+        received = timeout(limits.receive_timeout, request) => received,
+    };
+    http.end_request_input();
+    match received {
+        Ok(Ok(request)) => Ok(Some(request)),
+        Ok(Err(error)) => reject(http, &error).await.map(|()| None),
+        Err(_elapsed) => {
+            let response = Response::local(408, "the request did not arrive in time");
+            respond_and_close(http, &response).await.map(|()| None)
+        }
+    }
+}
+
+/// Writes a part of a response within a time limit; returns false if the limit passes or the connection is evicted.
+pub(super) async fn write_within(
+    http: &mut HttpConnection,
+    account: &Account,
+    parts: &[&[u8]],
+    limit: Duration,
+) -> Result<bool> {
+    account.set_activity(Activity::Responding);
+    tokio::select! {
+        biased;
+        () = account.evicted() => Ok(false),
+        written = timeout(limit, http.write_parts(parts)) => match written {
+            Ok(written) => written.map(|()| true),
+            Err(_elapsed) => Ok(false),
+        },
+    }
+}
+
 /// Reads a complete request; returns it and whether the caller allows the connection to stay open.
 ///
 /// `received_at` is when its first bytes were read, if that was while an earlier request was served. Otherwise the
-/// request counts as received once its head is complete. `hold` counts the memory that the request takes, if that is
-/// bounded.
+/// request counts as received once its head is complete. `hold` counts the memory that the request takes.
 ///
 /// # Errors
 ///
 /// Returns an error if the connection ends, the request is malformed or larger than `limits`, or there is no memory for it.
-pub(super) async fn read_request(
+async fn read_request(
     http: &mut HttpConnection,
     limits: &RequestLimits,
     received_at: Option<Instant>,
-    hold: Option<Hold>,
+    hold: Hold,
 ) -> Result<(ReceivedRequest, bool)> {
     let head = http.read_request_head(limits.max_head_bytes).await?;
     let arrived = received_at.unwrap_or_else(clock::now);
@@ -445,7 +466,7 @@
     if expects_continue && !http.has_unread() {
         http.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
     }
-    let mut body = Body::new(&head, hold);
+    let mut body = Body::new(&head, Some(hold));
     http.read_body_segments(framing, limits.max_body_bytes, &mut body)
         .await?;
     let keeps_alive = head.keeps_alive();
--- a/crates/kumquat-router/src/intake.rs
+++ b/crates/kumquat-router/src/intake.rs
@@ -1,4 +1,4 @@
-//! The `intake` module provides the accounts of what callers' connections hold in memory.
+//! The `intake` module provides the accounts of what the connections of each listener hold in memory.
 //!
 //! The decisions are made by [`kumquat_coordination::fleet::intake`]; this module carries them out and reports them.
 
@@ -6,8 +6,9 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
-use kumquat_coordination::fleet::intake::{Activity, Bounds, Eviction, Intake};
+use kumquat_coordination::fleet::intake::{Activity, Bounds, Capacity, Eviction, Intake, Listener};
 use kumquat_state::clock::{self, Instant};
+use prometheus::IntGauge;
 use slog::{Logger, warn};
 use tokio::sync::Notify;
 
@@ -27,40 +28,94 @@
     logged_at: Option<Instant>,
 }
 
-/// The accounts of all callers' connections of a VM.
+/// The accounts of all listeners of a VM.
+#[derive(Debug)]
+pub struct Ledgers {
+    /// Accounts of callers.
+    pub callers: Rc<Ledger>,
+    /// Accounts of other VMs that forward requests.
+    pub peers: Rc<Ledger>,
+    /// Accounts of those who ask for pages.
+    pub admin: Rc<Ledger>,
+    /// Accounts of those who check whether the VM is ready.
+    pub readiness: Rc<Ledger>,
+}
+
+impl Ledgers {
+    /// Creates the accounts of a VM whose memory and descriptors are not stated.
+    #[must_use]
+    pub fn new(metrics: &Metrics, log: &Logger) -> Self {
+        let open = |listener| Ledger::new(listener, metrics.clone(), log.clone());
+        Self {
+            callers: open(Listener::Callers),
+            peers: open(Listener::Peers),
+            admin: open(Listener::Admin),
+            readiness: open(Listener::Readiness),
+        }
+    }
+
+    /// Returns the accounts of a listener.
+    #[must_use]
+    pub const fn get(&self, listener: Listener) -> &Rc<Ledger> {
+        match listener {
+            Listener::Callers => &self.callers,
+            Listener::Peers => &self.peers,
+            Listener::Admin => &self.admin,
+            Listener::Readiness => &self.readiness,
+        }
+    }
+
+    /// Sets the bounds of all listeners.
+    pub fn set_capacity(&self, capacity: Capacity) {
+        for ledger in [&self.callers, &self.peers, &self.admin, &self.readiness] {
+            ledger.set_bounds(capacity.bounds(ledger.listener));
+        }
+    }
+
+    /// Sets the length of the largest request that the desired state allows, which callers send and other VMs forward.
+    pub fn set_largest_request(&self, bytes: usize) {
+        for ledger in [&self.callers, &self.peers] {
+            ledger.intake.borrow_mut().set_largest_request(bytes);
+        }
+    }
+}
+
+/// The accounts of all connections of a listener.
 #[derive(Debug)]
 pub struct Ledger {
+    listener: Listener,
     intake: RefCell<Intake>,
     // In ascending order of ids.
     accounts: RefCell<Vec<(u64, Weak<Account>)>>,
     unlogged: RefCell<Unlogged>,
+    held_bytes: IntGauge,
+    connections: IntGauge,
     metrics: Metrics,
     log: Logger,
 }
 
 impl Ledger {
-    /// Creates the accounts of a VM whose memory and descriptors are not stated.
-    #[must_use]
-    pub fn new(metrics: Metrics, log: Logger) -> Rc<Self> {
+    /// Creates the accounts of a listener on a VM whose memory and descriptors are not stated.
+    fn new(listener: Listener, metrics: Metrics, log: Logger) -> Rc<Self> {
+        let bounds = Capacity::default().bounds(listener);
+        let label = [listener.name()];
         Rc::new(Self {
-            intake: RefCell::new(Intake::new(Bounds::new(None, None))),
+            listener,
+            intake: RefCell::new(Intake::new(bounds)),
             accounts: RefCell::default(),
             unlogged: RefCell::default(),
+            held_bytes: metrics.intake.held_bytes.with_label_values(&label),
+            connections: metrics.intake.connections.with_label_values(&label),
             metrics,
             log,
         })
     }
 
-    /// Sets the bounds of the VM.
+    /// Sets the bounds of the listener.
     pub fn set_bounds(&self, bounds: Bounds) {
         self.intake.borrow_mut().set_bounds(bounds);
     }
 
-    /// Sets the length of the largest request that the desired state allows.
-    pub fn set_largest_request(&self, bytes: usize) {
-        self.intake.borrow_mut().set_largest_request(bytes);
-    }
-
     /// Opens the account of a new connection, in place of another connection if there are too many.
     ///
     /// Returns `None` if there is no room, and then the connection is to be closed.
@@ -82,7 +137,7 @@
             self.metrics
                 .intake
                 .evictions
-                .with_label_values(&["connections"])
+                .with_label_values(&[self.listener.name(), "connections"])
                 .inc();
             self.unlogged.borrow_mut().connections += 1;
             self.notify(eviction);
@@ -99,7 +154,7 @@
             self.metrics
                 .intake
                 .evictions
-                .with_label_values(&[reason])
+                .with_label_values(&[self.listener.name(), reason])
                 .inc();
             let mut unlogged = self.unlogged.borrow_mut();
             if is_unread {
@@ -137,7 +192,7 @@
             return;
         }
         let intake = self.intake.borrow();
-        warn!(self.log, "callers' connections evicted"; "receiving" => unlogged.receiving,
+        warn!(self.log, "connections evicted"; "listener" => self.listener.name(), "receiving" => unlogged.receiving,
             "unread" => unlogged.unread, "connections" => unlogged.connections, "rejected" => unlogged.rejected,
             "held_bytes" => intake.held_bytes(), "budget_bytes" => intake.budget_bytes(),
             "open" => intake.connections());
@@ -151,7 +206,7 @@
         self.metrics
             .intake
             .rejections
-            .with_label_values(&[reason])
+            .with_label_values(&[self.listener.name(), reason])
             .inc();
         self.unlogged.borrow_mut().rejected += 1;
     }
@@ -160,14 +215,8 @@
     fn report(&self) {
         let intake = self.intake.borrow();
         let gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
-        self.metrics
-            .intake
-            .held_bytes
-            .set(gauge(intake.held_bytes()));
-        self.metrics
-            .intake
-            .connections
-            .set(gauge(intake.connections()));
+        self.held_bytes.set(gauge(intake.held_bytes()));
+        self.connections.set(gauge(intake.connections()));
     }
 }
 
--- a/crates/kumquat-router/src/metrics.rs
+++ b/crates/kumquat-router/src/metrics.rs
@@ -1,8 +1,8 @@
 //! The `metrics` module provides the Prometheus metrics of a VM.
 
 use prometheus::{
-    Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 
 mod rollout;
@@ -187,13 +187,13 @@
 /// Metrics of what callers take of a VM's memory and descriptors.
 #[derive(Clone, Debug)]
 pub struct IntakeMetrics {
-    /// Bytes that callers' connections hold.
-    pub held_bytes: IntGauge,
-    /// Callers' connections that count towards their maximum.
-    pub connections: IntGauge,
-    /// Connections closed to make room, by reason.
+    /// Bytes that connections hold, by listener.
+    pub held_bytes: IntGaugeVec,
+    /// Connections that count towards the maximum of their listener, by listener.
+    pub connections: IntGaugeVec,
+    /// Connections closed to make room, by listener and reason.
     pub evictions: IntCounterVec,
-    /// Requests and connections rejected for lack of room, by reason.
+    /// Requests and connections rejected for lack of room, by listener and reason.
     pub rejections: IntCounterVec,
     /// Connections that wait for their turn to process large input.
     pub waiting_connections: IntGauge,
@@ -204,23 +204,25 @@
 impl IntakeMetrics {
     fn new(registrar: &Registrar<'_>) -> Result<Self, prometheus::Error> {
         Ok(Self {
-            held_bytes: registrar.gauge(
+            held_bytes: registrar.gauges(
                 "kumquat_vm_intake_held_bytes",
-                "Bytes that callers' connections hold.",
+                "Bytes that connections hold.",
+                &["listener"],
             )?,
-            connections: registrar.gauge(
+            connections: registrar.gauges(
                 "kumquat_vm_intake_connections",
-                "Callers' connections that count towards their maximum.",
+                "Connections that count towards the maximum of their listener.",
+                &["listener"],
             )?,
             evictions: registrar.counter(
                 "kumquat_vm_intake_evictions_total",
-                "Callers' connections closed to make room.",
-                &["reason"],
+                "Connections closed to make room.",
+                &["listener", "reason"],
             )?,
             rejections: registrar.counter(
                 "kumquat_vm_intake_rejections_total",
                 "Requests and connections rejected for lack of room.",
-                &["reason"],
+                &["listener", "reason"],
             )?,
             waiting_connections: registrar.gauge(
                 "kumquat_vm_input_waiting_connections",
@@ -311,6 +313,17 @@
         Ok(gauge)
     }
 
+    fn gauges(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> Result<IntGaugeVec, prometheus::Error> {
+        let gauge = IntGaugeVec::new(Opts::new(name, help), labels)?;
+        self.0.register(Box::new(gauge.clone()))?;
+        Ok(gauge)
+    }
+
     fn gauge(&self, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
         let gauge = IntGauge::new(name, help)?;
         self.0.register(Box::new(gauge.clone()))?;
--- a/crates/kumquat-router/src/vm.rs
+++ b/crates/kumquat-router/src/vm.rs
@@ -17,7 +17,7 @@
 use crate::config::{Config, Route};
 use crate::dialect::Dialect;
 use crate::input::Schedule;
-use crate::intake::Ledger;
+use crate::intake::Ledgers;
 use crate::metrics::Metrics;
 use crate::pool::ConnectionPool;
 use crate::sorted;
@@ -104,8 +104,8 @@
     pub request_log: AccessLog,
     /// Prometheus metrics of this process.
     pub metrics: Metrics,
-    /// What callers' connections hold in memory.
-    pub intake: Rc<Ledger>,
+    /// What the connections of each listener hold in memory.
+    pub intake: Ledgers,
     /// Turns of connections with large input.
     pub input: Rc<Schedule>,
     /// Idle connections to upstreams.
@@ -135,7 +135,7 @@
         metrics: Metrics,
     ) -> Rc<Self> {
         let request_log = AccessLog::new(log.clone(), metrics.clone());
-        let intake = Ledger::new(metrics.clone(), log.clone());
+        let intake = Ledgers::new(&metrics, &log);
         let input = Schedule::new(metrics.clone());
         let mut state = State::default();
         state.table.set_local_data_centre(&identity.data_centre);
--- a/crates/kumquat-router/tests/intake.rs
+++ b/crates/kumquat-router/tests/intake.rs
@@ -27,8 +27,9 @@
 
 /// Bounds a router to the least budget, which holds one request of the largest legal size.
 fn bound(router: &Router, max_connections: usize) {
-    router.vm.intake.set_bounds(Bounds {
+    router.vm.intake.callers.set_bounds(Bounds {
         budget_bytes: 0,
+        max_budget_bytes: usize::MAX,
         max_connections,
     });
 }
