End the turn of a connection that waits for its peer

A connection that has a turn for its input could keep it while it waited for something else: for its peer to accept `100 Continue` or an error response while the send buffer is full, or for requests in flight after input was discarded. All other connections with large input would have waited for that long. Found by reading; no run has shown it.

--- a/crates/kumquat-router/src/caller/connection.rs
+++ b/crates/kumquat-router/src/caller/connection.rs
@@ -534,5 +534,7 @@
     http.shutdown_write().await?;
     // A caller that does not close its side in time gets a reset.
     let _closed = timeout(LINGER_TIMEOUT, http.discard_until_closed()).await;
+    // Requests in flight may keep the connection for longer.
+    http.end_request_input();
     Ok(())
 }
--- a/crates/kumquat-router/src/http/connection.rs
+++ b/crates/kumquat-router/src/http/connection.rs
@@ -293,7 +293,7 @@
                     self.count_read(count);
                     return Ok(count);
                 }
-                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => self.end_turn(),
                 Err(error) => return Err(error.into()),
             }
         }
@@ -360,7 +360,7 @@
                     self.count_read(count);
                     return Ok(count);
                 }
-                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => self.end_turn(),
                 Err(error) => return Err(error.into()),
             }
         }
--- a/crates/kumquat-router/src/http/connection/write.rs
+++ b/crates/kumquat-router/src/http/connection/write.rs
@@ -95,6 +95,7 @@
                     written += count;
                 }
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
+                    self.end_turn();
                     self.stream.writable().await?;
                 }
                 Err(error) => return Err(error.into()),
