Abort connections that have been closing the longest when new ones need the room

Cause: a connection on which the last response has been written keeps its place for up to 0.4 s, and an evicted one counted towards an allowance of an eighth of the places. At a listener with few places callers that come back at once fill both. A connection that closes after an ordinary `Connection: close` or a malformed request counted as being served or receiving, so that it could not be evicted in time either. The same holds for all four listeners.

Change: `Activity::Closing` is evicted before anything else, and beyond the allowance each new connection aborts the one that has been closing the longest (`Intake::abort_excess`). The decision is pure; the connection's task ends its wait for the caller.

--- a/crates/kumquat-coordination/src/fleet/intake.rs
+++ b/crates/kumquat-coordination/src/fleet/intake.rs
@@ -146,6 +146,8 @@
     Serving,
     /// Its caller has not accepted the response that is being written.
     Responding,
+    /// Nothing more is served on it; its caller has some time to read the last response.
+    Closing,
 }
 
 /// A connection that has to be closed to make room.
@@ -173,6 +175,8 @@
     since: Instant,
     bytes: usize,
     is_evicted: bool,
+    // Whether it has been told to close without waiting for its caller.
+    is_aborted: bool,
 }
 
 impl Entry {
@@ -243,19 +247,21 @@
 
     /// Adds a connection and returns its id, with the connection that has to be closed for it, if any.
     ///
-    /// Returns `None` if there is no room and none can be made.
+    /// Returns `None` if there is no room and none can be made. [`Self::abort_excess`] is to be called afterwards.
     pub fn open(&mut self, now: Instant) -> Option<(u64, Option<Eviction>)> {
         let max = self.bounds.max_connections;
-        // Connections that are being closed still have their descriptors.
-        if self.entries.len() > max + max / CLOSING_DIVISOR {
+        if self.entries.len() > self.max_entries() {
             return None;
         }
         let mut eviction = None;
         if self.open_count >= max {
-            let is_candidate = |entry: &Entry| {
+            let is_unserved = |entry: &Entry| {
                 entry.is_candidate(Activity::Idle) || entry.is_candidate(Activity::Receiving)
             };
-            eviction = Some(self.evict_oldest(is_candidate)?);
+            let evicted = self
+                .evict_oldest(|entry| entry.is_candidate(Activity::Closing))
+                .or_else(|| self.evict_oldest(is_unserved));
+            eviction = Some(evicted?);
         }
         let id = self.next_id;
         self.next_id += 1;
@@ -266,10 +272,32 @@
             since: now,
             bytes: 0,
             is_evicted: false,
+            is_aborted: false,
         });
         Some((id, eviction))
     }
 
+    /// Aborts the evicted connection that has been closing the longest, if too many are; returns its id.
+    ///
+    /// Without it, callers that come back at once would fill the listener with connections that wait for them to read a
+    /// last response.
+    pub fn abort_excess(&mut self) -> Option<u64> {
+        if self.entries.len() <= self.max_entries() {
+            return None;
+        }
+        let is_closing = |entry: &&mut Entry| entry.is_evicted && !entry.is_aborted;
+        let closing = self.entries.iter_mut().filter(is_closing);
+        let oldest = closing.min_by_key(|entry| entry.since)?;
+        oldest.is_aborted = true;
+        Some(oldest.id)
+    }
+
+    /// Returns the number of connections with those that are being closed, which still have their descriptors.
+    const fn max_entries(&self) -> usize {
+        let max = self.bounds.max_connections;
+        max + max / CLOSING_DIVISOR
+    }
+
     /// Removes a connection with all that it holds.
     pub fn close(&mut self, id: u64) {
         if let Some(position) = self.position(id) {
@@ -377,6 +405,7 @@
         let candidates = self.entries.iter_mut().filter(|entry| is_candidate(entry));
         let oldest = candidates.min_by_key(|entry| entry.since)?;
         oldest.is_evicted = true;
+        oldest.is_aborted = oldest.activity == Activity::Closing;
         let eviction = Eviction {
             connection: oldest.id,
             activity: oldest.activity,
--- a/crates/kumquat-coordination/tests/fleet_intake.rs
+++ b/crates/kumquat-coordination/tests/fleet_intake.rs
@@ -233,3 +233,31 @@
     assert!(closing.open(at(6)).is_none());
     assert!(serving.open(at(7)).is_none());
 }
+
+/// Guards against callers that come back at once and are refused because evicted connections still have their descriptors.
+#[test]
+fn connections_that_have_been_closing_the_longest_make_room() {
+    use Activity::{Closing, Idle, Receiving};
+    let mut intake = intake(8, &[(Receiving, 10); 8]);
+    let mut aborted = Vec::new();
+    for millis in 10..12 {
+        let (id, evicted) = intake.open(at(millis)).expect("room");
+        intake.set_activity(id, Idle, at(millis));
+        let evicted = evicted.expect("an evicted connection").connection;
+        intake.set_activity(evicted, Closing, at(30 - millis));
+        aborted.extend(intake.abort_excess());
+    }
+
+    assert_eq!(aborted, [1], "the connection that began to close first");
+    intake.close(1);
+    intake.set_activity(5, Closing, at(40));
+    let (_, evicted) = intake.open(at(41)).expect("room");
+    let evicted = evicted.map(|eviction| (eviction.connection, eviction.activity));
+    assert_eq!(
+        evicted,
+        Some((5, Closing)),
+        "before those that may still send"
+    );
+    assert_eq!(intake.abort_excess(), Some(0));
+    assert_eq!(intake.abort_excess(), None, "each is aborted once");
+}
--- a/crates/kumquat-router/src/caller/admin.rs
+++ b/crates/kumquat-router/src/caller/admin.rs
@@ -154,7 +154,7 @@
             }
         }
         if !keeps_alive {
-            return close_gracefully(&mut connection).await;
+            return close_gracefully(&mut connection, account).await;
         }
     }
 }
--- a/crates/kumquat-router/src/caller/connection.rs
+++ b/crates/kumquat-router/src/caller/connection.rs
@@ -276,7 +276,7 @@
             }
         };
         if !stays_open {
-            close_gracefully(&mut self.http).await?;
+            close_gracefully(&mut self.http, &self.account).await?;
         }
         Ok(stays_open)
     }
@@ -416,10 +416,12 @@
     http.end_request_input();
     match received {
         Ok(Ok(request)) => Ok(Some(request)),
-        Ok(Err(error)) => reject(http, &error).await.map(|()| None),
+        Ok(Err(error)) => reject(http, account, &error).await.map(|()| None),
         Err(_elapsed) => {
             let response = Response::local(408, "the request did not arrive in time");
-            respond_and_close(http, &response).await.map(|()| None)
+            respond_and_close(http, account, &response)
+                .await
+                .map(|()| None)
         }
     }
 }
@@ -491,13 +493,13 @@
 }
 
 /// Responds to a request that could not be read, if the connection still allows it, and closes the connection.
-async fn reject(http: &mut HttpConnection, error: &Error) -> Result<()> {
+async fn reject(http: &mut HttpConnection, account: &Account, error: &Error) -> Result<()> {
     let (status, reason) = match error {
         Error::Exhausted => {
             http.release_buffer();
             let reason = "no memory left for the request";
             let response = Response::with_retry_after(503, reason, EXHAUSTED_RETRY_AFTER);
-            return respond_and_close(http, &response).await;
+            return respond_and_close(http, account, &response).await;
         }
         Error::Malformed(reason) => (400, *reason),
         Error::TooLarge("request head") => (431, "the head is too large"),
@@ -506,11 +508,16 @@
             return Ok(());
         }
     };
-    respond_and_close(http, &Response::local(status, reason)).await
+    respond_and_close(http, account, &Response::local(status, reason)).await
 }
 
 /// Writes a last response and closes the connection.
-async fn respond_and_close(http: &mut HttpConnection, response: &Response) -> Result<()> {
+async fn respond_and_close(
+    http: &mut HttpConnection,
+    account: &Account,
+    response: &Response,
+) -> Result<()> {
+    account.set_activity(Activity::Closing);
     if let ResponseBody::Buffered(body) = &response.body {
         let options = ResponseOptions {
             keeps_alive: false,
@@ -518,22 +525,31 @@
             idle_timeout: Duration::ZERO,
         };
         let bytes = render::encode_response(response, body, &options);
-        // Nothing may be left to wait for if the caller reads no responses.
-        if timeout(LINGER_TIMEOUT, http.write_all(&bytes))
-            .await
-            .is_err()
-        {
+        let is_written = tokio::select! {
+            biased;
+            // Nothing may be left to wait for if the caller reads no responses.
+            written = timeout(LINGER_TIMEOUT, http.write_all(&bytes)) => written.is_ok(),
+            () = account.aborted() => false,
+        };
+        if !is_written {
             return Ok(());
         }
     }
-    close_gracefully(http).await
+    close_gracefully(http, account).await
 }
 
 /// Closes a connection after its last response, so that the caller can still read that response.
-pub(super) async fn close_gracefully(http: &mut HttpConnection) -> Result<()> {
+///
+/// It takes less time if a new connection needs the room.
+pub(super) async fn close_gracefully(http: &mut HttpConnection, account: &Account) -> Result<()> {
+    account.set_activity(Activity::Closing);
     http.shutdown_write().await?;
-    // A caller that does not close its side in time gets a reset.
-    let _closed = timeout(LINGER_TIMEOUT, http.discard_until_closed()).await;
+    tokio::select! {
+        biased;
+        // A caller that does not close its side in time gets a reset.
+        _closed = timeout(LINGER_TIMEOUT, http.discard_until_closed()) => {}
+        () = account.aborted() => {}
+    }
     // Requests in flight may keep the connection for longer.
     http.end_request_input();
     Ok(())
--- a/crates/kumquat-router/src/intake.rs
+++ b/crates/kumquat-router/src/intake.rs
@@ -120,7 +120,13 @@
     ///
     /// Returns `None` if there is no room, and then the connection is to be closed.
     pub fn open(self: &Rc<Self>) -> Option<Rc<Account>> {
-        let opened = self.intake.borrow_mut().open(clock::now());
+        let mut intake = self.intake.borrow_mut();
+        let (opened, aborted) = (intake.open(clock::now()), intake.abort_excess());
+        drop(intake);
+        if let Some(account) = aborted.and_then(|id| self.account(id)) {
+            self.count_eviction("closing");
+            account.abort();
+        }
         let Some((id, eviction)) = opened else {
             self.count_rejection("connections");
             return None;
@@ -130,15 +136,15 @@
             id,
             eviction: Notify::new(),
             is_evicted: Cell::new(false),
+            is_aborted: Cell::new(false),
         });
         let entry = (id, Rc::downgrade(&account));
         self.accounts.borrow_mut().push(entry);
         if let Some(eviction) = eviction {
-            self.metrics
-                .intake
-                .evictions
-                .with_label_values(&[self.listener.name(), "connections"])
-                .inc();
+            self.count_eviction(match eviction.activity {
+                Activity::Closing => "closing",
+                _ => "connections",
+            });
             self.unlogged.borrow_mut().connections += 1;
             self.notify(eviction);
         }
@@ -151,11 +157,7 @@
         for eviction in evictions {
             let is_unread = eviction.activity == Activity::Responding;
             let reason = if is_unread { "unread" } else { "receiving" };
-            self.metrics
-                .intake
-                .evictions
-                .with_label_values(&[self.listener.name(), reason])
-                .inc();
+            self.count_eviction(reason);
             let mut unlogged = self.unlogged.borrow_mut();
             if is_unread {
                 unlogged.unread += 1;
@@ -168,19 +170,31 @@
     }
 
     fn notify(&self, eviction: Eviction) {
-        let accounts = self.accounts.borrow();
-        let position = accounts.binary_search_by_key(&eviction.connection, |(id, _)| *id);
-        let account = position
-            .ok()
-            .and_then(|position| accounts[position].1.upgrade());
-        if let Some(account) = account {
-            account.is_evicted.set(true);
-            account.eviction.notify_one();
+        if let Some(account) = self.account(eviction.connection) {
+            if eviction.activity == Activity::Closing {
+                account.abort();
+            } else {
+                account.is_evicted.set(true);
+                account.eviction.notify_one();
+            }
         }
-        drop(accounts);
         self.log_evictions();
     }
 
+    fn account(&self, id: u64) -> Option<Rc<Account>> {
+        let accounts = self.accounts.borrow();
+        let position = accounts.binary_search_by_key(&id, |(id, _)| *id).ok()?;
+        accounts[position].1.upgrade()
+    }
+
+    fn count_eviction(&self, reason: &str) {
+        self.metrics
+            .intake
+            .evictions
+            .with_label_values(&[self.listener.name(), reason])
+            .inc();
+    }
+
     /// Logs the evictions since the last line, unless that was less than a second ago.
     fn log_evictions(&self) {
         let now = clock::now();
@@ -227,6 +241,8 @@
     id: u64,
     eviction: Notify,
     is_evicted: Cell<bool>,
+    // Whether the connection is to close without waiting for its caller to read the last response.
+    is_aborted: Cell<bool>,
 }
 
 impl Account {
@@ -243,6 +259,19 @@
         }
     }
 
+    /// Waits until the connection, which is being closed, has no more time for that.
+    pub async fn aborted(&self) {
+        while !self.is_aborted.get() {
+            self.eviction.notified().await;
+        }
+    }
+
+    fn abort(&self) {
+        self.is_evicted.set(true);
+        self.is_aborted.set(true);
+        self.eviction.notify_one();
+    }
+
     fn grow(&self, bytes: usize) -> Result<()> {
         let growth = self.ledger.intake.borrow_mut().grow(self.id, bytes);
         self.ledger.evict(growth.evictions);
--- a/crates/kumquat-router/tests/intake.rs
+++ b/crates/kumquat-router/tests/intake.rs
@@ -135,6 +135,32 @@
     });
 }
 
+/// Guards against callers that keep their side open after their last response and thereby keep new callers out.
+#[test]
+fn connections_that_are_being_closed_make_room_for_new_ones() {
+    run_local_test(async {
+        let upstream = ScriptedUpstream::bind(&[UpstreamAction::Answer("one")]).await;
+        let router = start_router(&[&upstream]);
+        bound(&router, 2);
+        let last = request("GET", "/safe/a", "t1").replace("Host:", "Connection: close\r\nHost:");
+        let malformed = request("GET", "/safe/a", "t2").replace("Host:", "Other:");
+        for text in [last, malformed] {
+            let mut open = Vec::new();
+            for _ in 0..4 {
+                let mut connection = start_request(&router, &text).await;
+                let mut start = [0; 9];
+                let read = connection.read_exact(&mut start).await;
+                assert_eq!((read.ok(), &start), (Some(9), b"HTTP/1.1 "));
+                open.push(connection);
+            }
+
+            let response = send_request(router.address, &request("GET", "/safe/a", "t3")).await;
+
+            assert_eq!(status(&response), 200, "{response}");
+        }
+    });
+}
+
 /// Guards against a request that is executed although a part of its body was discarded behind a response that is relayed.
 #[test]
 fn a_request_of_which_a_part_was_discarded_is_not_executed() {
