Reset closing connections whose input would wait behind that of others

Cause: after its last response a connection stays open for up to 0.2 s and discards what its caller still sends. That needs turns as any large input does. Ruled out: growth of the receive buffers, since none held more than 128 KB.

Change: a connection that is being closed does not wait for turns. If its input needs one while others wait, it is reset.

--- a/crates/kumquat-router/src/http/connection.rs
+++ b/crates/kumquat-router/src/http/connection.rs
@@ -288,21 +288,46 @@
     async fn discard(&mut self) -> Result<usize> {
         loop {
             self.wait_for_input().await?;
-            match self.stream.try_read(&mut [0_u8; MAX_DISCARD_BYTES]) {
-                Ok(count) => {
-                    self.count_read(count);
-                    return Ok(count);
-                }
-                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => self.end_turn(),
-                Err(error) => return Err(error.into()),
+            if let Some(count) = self.try_discard()? {
+                return Ok(count);
             }
         }
     }
 
+    /// Discards what can be read; returns the number of bytes, 0 at the end of the stream and `None` if there is no input.
+    fn try_discard(&mut self) -> Result<Option<usize>> {
+        match self.stream.try_read(&mut [0_u8; MAX_DISCARD_BYTES]) {
+            Ok(count) => {
+                self.count_read(count);
+                Ok(Some(count))
+            }
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
+                self.end_turn();
+                Ok(None)
+            }
+            Err(error) => Err(error.into()),
+        }
+    }
+
     /// Reads and discards input until the peer closes the connection.
-    pub async fn discard_until_closed(&mut self) {
+    ///
+    /// It also returns if there is so much input that it would delay that of other connections.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails.
+    pub async fn discard_until_closed(&mut self) -> Result<()> {
         self.release_buffer();
-        while matches!(self.discard().await, Ok(1..)) {}
+        loop {
+            self.wait_for_bytes().await?;
+            if self.meter.as_ref().is_some_and(Meter::delays_others) {
+                return Ok(());
+            }
+            self.begin_turn().await;
+            if self.try_discard()? == Some(0) {
+                return Ok(());
+            }
+        }
     }
 
     /// Counts a read or write, and the bytes of those before it, towards the budget of the task.
@@ -321,9 +346,16 @@
     }
 
     /// Waits until there is input and this connection may process it.
+    async fn wait_for_input(&mut self) -> Result<()> {
+        self.wait_for_bytes().await?;
+        self.begin_turn().await;
+        Ok(())
+    }
+
+    /// Waits until there is input or the end of it.
     ///
     /// A turn that has begun is kept only while there is more input.
-    async fn wait_for_input(&mut self) -> Result<()> {
+    async fn wait_for_bytes(&mut self) -> Result<()> {
         self.charge().await;
         std::future::poll_fn(|context| {
             let ready = self.stream.poll_read_ready(context);
@@ -333,10 +365,14 @@
             ready
         })
         .await?;
+        Ok(())
+    }
+
+    /// Waits until this connection may process its input.
+    async fn begin_turn(&mut self) {
         if let Some(meter) = &mut self.meter {
             meter.admit().await;
         }
-        Ok(())
     }
 
     /// Reads once, with buffer space for at least `min_bytes`; returns the number of bytes, 0 at the end of the stream.
--- a/crates/kumquat-router/src/input.rs
+++ b/crates/kumquat-router/src/input.rs
@@ -99,7 +99,7 @@
     ///
     /// A turn has to be ended by [`Self::end_turn`] before the connection waits for anything else.
     pub async fn admit(&mut self) {
-        if self.request_work < FREE_WORK || self.turn_work.is_some_and(|work| work < TURN_WORK) {
+        if self.is_admitted() {
             return;
         }
         self.end_turn();
@@ -120,6 +120,17 @@
         self.turn_work = Some(0);
     }
 
+    /// Returns whether the connection needs a turn and others wait for theirs.
+    #[must_use]
+    pub fn delays_others(&self) -> bool {
+        !self.is_admitted() && self.schedule.turns.borrow().waiting() > 0
+    }
+
+    /// Returns whether the connection may process input now.
+    fn is_admitted(&self) -> bool {
+        self.request_work < FREE_WORK || self.turn_work.is_some_and(|work| work < TURN_WORK)
+    }
+
     /// Counts a read of some bytes.
     pub fn count_read(&mut self, bytes: usize) {
         self.count(READ_WORK.saturating_add(bytes));
