Bound connections that wait to be accepted by the memory of the VM

Callers saw: beside 1,000 callers of all forms that come back at once, a VM of 60 MB that runs 10 ms of each 50 ms was beyond its memory: 117,651 KB of 61,440 (returning_callers_of_all_forms with 1,000 callers, one run, fails).

Cause: each listener let 1,024 connections wait to be accepted, whatever the memory, and the kernel takes their input meanwhile. A sample during that run showed 731 connections that were not accepted with 88 of 101 MB unread, up to 128 KB each. Ruled out: requests that wait for turns (265 open connections, 15 MB), which the byte budget keeps in bounds by evicting them.

Change: `Capacity::backlog` derives the length of the queue from the memory: for callers a quarter of it at 128 KB for each connection, for each other listener 1/32, within 32 and 1,024. VMs with 512 MB keep 1,024 at the callers' address.

Not mended: input that arrives at the same moment on all open connections.

--- a/crates/kumquat-coordination/src/fleet/intake.rs
+++ b/crates/kumquat-coordination/src/fleet/intake.rs
@@ -41,6 +41,21 @@
 /// Smallest number of connections of a listener other than that for callers.
 const MIN_INTERNAL_CONNECTIONS: usize = 4;
 
+/// Input that the kernel buffers for a connection that has not been accepted, in bytes.
+const UNACCEPTED_BYTES: usize = 128 * 1024;
+
+/// Part of a VM's memory for input of callers' connections that have not been accepted.
+const CALLERS_BACKLOG_DIVISOR: usize = 4;
+
+/// The same for each of the other listeners.
+const INTERNAL_BACKLOG_DIVISOR: usize = 32;
+
+/// Smallest number of connections that may wait to be accepted.
+const MIN_BACKLOG: usize = 32;
+
+/// Largest number of connections that may wait to be accepted.
+const MAX_BACKLOG: usize = 1_024;
+
 /// Descriptors that are reserved for files and the listeners.
 const RESERVED_DESCRIPTORS: usize = 200;
 
@@ -92,6 +107,20 @@
 }
 
 impl Capacity {
+    /// Returns how many connections of a listener may wait to be accepted.
+    ///
+    /// The kernel accepts their input meanwhile. When the queue is full, it drops new connections and callers retry after a
+    /// second.
+    #[must_use]
+    pub fn backlog(&self, listener: Listener) -> usize {
+        let divisor = match listener {
+            Listener::Callers => CALLERS_BACKLOG_DIVISOR,
+            Listener::Peers | Listener::Admin | Listener::Readiness => INTERNAL_BACKLOG_DIVISOR,
+        };
+        let memory = self.memory_bytes.unwrap_or(DEFAULT_MEMORY_BYTES);
+        (memory / divisor / UNACCEPTED_BYTES).clamp(MIN_BACKLOG, MAX_BACKLOG)
+    }
+
     /// Returns the bounds of a listener.
     #[must_use]
     pub fn bounds(&self, listener: Listener) -> Bounds {
--- a/crates/kumquat-coordination/tests/fleet_intake.rs
+++ b/crates/kumquat-coordination/tests/fleet_intake.rs
@@ -88,6 +88,28 @@
     }
 }
 
+/// Guards against connections that are not accepted yet and leave more input in the kernel than the VM has memory.
+#[test]
+fn input_of_connections_that_wait_to_be_accepted_takes_a_part_of_the_memory() {
+    for memory_mb in [60, 120, 160, 512, 4_096] {
+        let capacity = capacity(memory_mb, 4_100);
+
+        let backlogs = LISTENERS.map(|listener| capacity.backlog(listener));
+
+        let buffered_mb = backlogs.iter().sum::<usize>() * 128 / 1024;
+        assert!(
+            buffered_mb <= memory_mb * 9 / 20,
+            "{backlogs:?} of {memory_mb} MB"
+        );
+        assert!(
+            backlogs
+                .iter()
+                .all(|backlog| (32..=1_024).contains(backlog))
+        );
+    }
+    assert_eq!(capacity(512, 4_100).backlog(Listener::Callers), 1_024);
+}
+
 /// Guards against a VM on which the largest legal request is never served.
 #[test]
 fn the_largest_request_fits_whatever_the_memory() {
--- a/crates/kumquat-router/src/caller.rs
+++ b/crates/kumquat-router/src/caller.rs
@@ -20,11 +20,6 @@
 
 pub use admin::{AdminPages, quarantine_page, serve_admin};
 
-/// Largest number of connections that wait to be accepted.
-///
-/// When the queue is full, the kernel drops new connections and callers retry after a second.
-const LISTEN_BACKLOG: u32 = 1_024;
-
 /// Delay after a failed accept, for example when no file descriptor is left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -47,16 +42,16 @@
 /// Closing a socket with unread input resets the connection, and the caller may lose the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Opens a listener on an IPv4 address.
+/// Opens a listener on an IPv4 address, at which up to `backlog` connections wait to be accepted.
 ///
 /// # Errors
 ///
 /// Returns an error if the address can't be bound.
-pub fn bind(address: SocketAddr) -> Result<TcpListener> {
+pub fn bind(address: SocketAddr, backlog: usize) -> Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
-    Ok(socket.listen(LISTEN_BACKLOG)?)
+    Ok(socket.listen(u32::try_from(backlog).unwrap_or(u32::MAX))?)
 }
 
 /// Who opens connections to a listener.
