Count the kernel's input of requests that wait for their turn

Cause: a request whose connection waits for a turn leaves up to 128 KB in the kernel, which no bound covered.

Change: before a connection waits, the account counts 128 KB for it and releases them when the turn begins. The budget then evicts the request that has been receiving the longest, as for any other bytes. A connection that gets its turn at once counts nothing, so that a single large request is bounded as before. Behind a request that is being served the bytes count as other input there: without room it is discarded.

--- a/crates/kumquat-coordination/src/fleet/input.rs
+++ b/crates/kumquat-coordination/src/fleet/input.rs
@@ -60,6 +60,13 @@
         self.active
     }
 
+    /// Returns whether a connection that requests its next turn gets it at once.
+    #[must_use]
+    pub fn is_free_for(&self, id: u64) -> bool {
+        self.active
+            .is_none_or(|active| active == id && self.waiting.is_empty())
+    }
+
     /// Returns the number of connections that wait for a turn.
     #[must_use]
     pub const fn waiting(&self) -> usize {
--- a/crates/kumquat-coordination/src/fleet/intake.rs
+++ b/crates/kumquat-coordination/src/fleet/intake.rs
@@ -41,8 +41,8 @@
 /// Smallest number of connections of a listener other than that for callers.
 const MIN_INTERNAL_CONNECTIONS: usize = 4;
 
-/// Input that the kernel buffers for a connection that has not been accepted, in bytes.
-const UNACCEPTED_BYTES: usize = 128 * 1024;
+/// Input that the kernel buffers for a connection, in bytes; Linux accepts as much by default before it is read.
+pub const UNREAD_BYTES: usize = 128 * 1024;
 
 /// Part of a VM's memory for input of callers' connections that have not been accepted.
 const CALLERS_BACKLOG_DIVISOR: usize = 4;
@@ -118,7 +118,7 @@
             Listener::Peers | Listener::Admin | Listener::Readiness => INTERNAL_BACKLOG_DIVISOR,
         };
         let memory = self.memory_bytes.unwrap_or(DEFAULT_MEMORY_BYTES);
-        (memory / divisor / UNACCEPTED_BYTES).clamp(MIN_BACKLOG, MAX_BACKLOG)
+        (memory / divisor / UNREAD_BYTES).clamp(MIN_BACKLOG, MAX_BACKLOG)
     }
 
     /// Returns the bounds of a listener.
--- a/crates/kumquat-router/src/http/connection.rs
+++ b/crates/kumquat-router/src/http/connection.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use kumquat_coordination::fleet::input::ELEMENT_WORK;
+use kumquat_coordination::fleet::intake::UNREAD_BYTES;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::coop::consume_budget;
@@ -381,13 +382,22 @@
     }
 
     /// Reads once as [`Self::fill_buffer`] does, after `count` has counted the memory that the buffer takes then.
+    ///
+    /// While the connection waits for its turn, its input in the kernel is counted too.
     async fn fill_counted(
         &mut self,
         min_bytes: usize,
         count: impl Fn(&mut Hold, usize) -> Result<()>,
     ) -> Result<usize> {
         loop {
-            self.wait_for_input().await?;
+            self.wait_for_bytes().await?;
+            if self.meter.as_ref().is_some_and(Meter::has_to_wait)
+                && let Some(hold) = &mut self.hold
+            {
+                count(hold, self.buffer.capacity().saturating_add(UNREAD_BYTES))?;
+            }
+            self.begin_turn().await;
+            self.shrink_hold();
             if let Some(hold) = &mut self.hold {
                 count(hold, self.buffer.capacity_with(min_bytes))?;
             }
--- a/crates/kumquat-router/src/input.rs
+++ b/crates/kumquat-router/src/input.rs
@@ -126,6 +126,12 @@
         !self.is_admitted() && self.schedule.turns.borrow().waiting() > 0
     }
 
+    /// Returns whether the connection needs a turn that does not begin at once.
+    #[must_use]
+    pub fn has_to_wait(&self) -> bool {
+        !self.is_admitted() && !self.schedule.turns.borrow().is_free_for(self.id)
+    }
+
     /// Returns whether the connection may process input now.
     fn is_admitted(&self) -> bool {
         self.request_work < FREE_WORK || self.turn_work.is_some_and(|work| work < TURN_WORK)
--- a/crates/kumquat-router/tests/intake.rs
+++ b/crates/kumquat-router/tests/intake.rs
@@ -10,6 +10,7 @@
     Router, ScriptedUpstream, UpstreamAction, header_field, read_answer, request, run_local_test,
     send_request, sleep_ms, start_request, start_router, status,
 };
+use kumquat_coordination::fleet::input::FREE_WORK;
 use kumquat_coordination::fleet::intake::Bounds;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
@@ -90,6 +91,38 @@
     });
 }
 
+/// Guards against requests that wait for their turn and leave more input in the kernel than the VM has memory.
+#[test]
+fn input_that_waits_for_a_turn_counts_towards_the_budget() {
+    run_local_test(async {
+        let upstream = ScriptedUpstream::bind(&[UpstreamAction::Answer("one")]).await;
+        let router = start_router(&[&upstream]);
+        let held_bytes = || {
+            router
+                .vm
+                .metrics
+                .intake
+                .held_bytes
+                .with_label_values(&["callers"])
+                .get()
+        };
+        let mut other = router.vm.input.meter();
+        other.count(FREE_WORK);
+        other.admit().await;
+
+        let text = upload("/safe/a", "t1", 60_000) + &varied_body(60_000);
+        let mut waiting = start_request(&router, &text).await;
+        sleep_ms(100).await;
+        let held_while_waiting = held_bytes();
+        drop(other);
+        let response = read_answer(&mut waiting).await;
+
+        assert!(held_while_waiting >= 128 * 1024, "{held_while_waiting}");
+        assert_eq!(status(&response), 200, "{response}");
+        assert!(held_bytes() < 16 * 1024, "{}", held_bytes());
+    });
+}
+
 /// Guards against an evicted request that is sent to an upstream, or whose caller is not told that it was not.
 #[test]
 fn a_request_that_stops_short_is_rejected_when_another_needs_its_memory() {
