Release the count of a wait for a turn that is given up; log aborted connections

Cause: a request that is complete in the buffer is served without another read, so that 128 KB which a dropped read-ahead had counted for its wait stayed counted until the connection read again. Found by reading; it needs pipelined requests beside connections that wait for turns. Connections that are aborted for new ones were missing from the line `connections evicted`.

Change: `consume` lowers the count to the buffer's size, and `Ledger::open` adds aborted connections to the line.

--- a/crates/kumquat-router/src/http/connection.rs
+++ b/crates/kumquat-router/src/http/connection.rs
@@ -214,6 +214,8 @@
     /// Removes `length` bytes from the front of the buffer.
     pub fn consume(&mut self, length: usize) {
         self.buffer.consume(length);
+        // A wait for a turn that was dropped has left its input counted.
+        self.shrink_hold();
     }
 
     /// Moves up to `max_bytes` unread bytes to the end of `output`; returns how many.
--- a/crates/kumquat-router/src/intake.rs
+++ b/crates/kumquat-router/src/intake.rs
@@ -125,6 +125,7 @@
         drop(intake);
         if let Some(account) = aborted.and_then(|id| self.account(id)) {
             self.count_eviction("closing");
+            self.unlogged.borrow_mut().connections += 1;
             account.abort();
         }
         let Some((id, eviction)) = opened else {
