Decide in one place what becomes of an upstream's response

What a response states (its status, whether it was not executed, its signature) was weighed in the middle of the handling of an attempt, and the status of the router's own refusals elsewhere, so that neither could be tested without sockets. Both decisions are now pure functions in kumquat-coordination, `response::Statement::verdict` and `response::refusal_status`; the handling of an attempt is split into the one of its result and the one of its response. Nothing changes in what callers or upstreams see.

--- a/crates/kumquat-coordination/src/fleet.rs
+++ b/crates/kumquat-coordination/src/fleet.rs
@@ -17,6 +17,7 @@
 mod quarantine;
 mod rate;
 pub mod reports;
+pub mod response;
 pub mod rollout;
 mod shutdown;
 mod split;
--- /dev/null
+++ b/crates/kumquat-coordination/src/fleet/response.rs
@@ -0,0 +1,55 @@
+//! The `response` module provides what becomes of an upstream's response, by what it states about the execution of the
+//! request.
+
+/// What the head of an upstream's response states.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Statement {
+    /// HTTP status code.
+    pub status: u16,
+    /// Whether the upstream states that it did not execute the request.
+    pub is_not_executed: bool,
+    /// Whether the response bears the upstream's signature.
+    pub is_signed: bool,
+}
+
+/// What becomes of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The upstream did not execute the request, which may be sent to another one.
+    NotExecuted,
+    /// The response is not the upstream's own, so that it is unknown whether the request was executed.
+    NotGenuine,
+    /// The response is passed on.
+    Answer,
+    /// The upstream failed; the response is passed on unless the request is retried.
+    Failure,
+}
+
+impl Statement {
+    /// Returns what becomes of the response.
+    #[must_use]
+    pub const fn verdict(&self) -> Verdict {
+        if self.is_not_executed {
+            Verdict::NotExecuted
+        } else if !self.is_signed {
+            Verdict::NotGenuine
+        } else if self.status >= 500 {
+            Verdict::Failure
+        } else {
+            Verdict::Answer
+        }
+    }
+}
+
+/// Returns the status of a response that the router generates for a request that has no response to pass on.
+///
+/// `may_have_executed` tells whether an upstream may have executed it, `has_time_left` whether its deadline is ahead.
+#[must_use]
+pub const fn refusal_status(may_have_executed: bool, has_time_left: bool) -> u16 {
+    match (may_have_executed, has_time_left) {
+        // Guarantees that the request was not executed and will not be.
+        (false, _) => 503,
+        (true, true) => 502,
+        (true, false) => 504,
+    }
+}
--- a/crates/kumquat-router/src/gateway.rs
+++ b/crates/kumquat-router/src/gateway.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use kumquat_coordination::fleet::response::refusal_status;
 use kumquat_coordination::fleet::{Cost, Fingerprint, RateDecision, deadline_during_shutdown};
 use kumquat_state::clock::{self, Instant};
 
@@ -550,14 +551,9 @@
         reason: &'static str,
         retry_after: Duration,
     ) -> Refusal {
-        // 429 and 503 guarantee that the request was not executed and will not be.
-        let status = match (progress.may_have_executed, clock::now() < self.deadline) {
-            (false, _) => 503,
-            (true, true) => 502,
-            (true, false) => 504,
-        };
+        let has_time_left = clock::now() < self.deadline;
         Refusal {
-            status,
+            status: refusal_status(progress.may_have_executed, has_time_left),
             reason,
             retry_after: retry_after.min(MAX_RETRY_AFTER),
             limited_by: None,
--- a/crates/kumquat-router/src/gateway/attempt.rs
+++ b/crates/kumquat-router/src/gateway/attempt.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use kumquat_coordination::fleet::response::Verdict;
 use kumquat_coordination::fleet::{AttemptOutcome, UpstreamLoad};
 use kumquat_state::clock;
 use tokio::time::timeout;
@@ -19,6 +20,11 @@
 };
 use crate::vm::SlotPermit;
 
+/// Outcome of an attempt that failed without saying anything about the upstream's speed.
+const FAILED: AttemptOutcome = AttemptOutcome::Failed {
+    relative_latency: None,
+};
+
 impl ResolvedRequest<'_> {
     /// Sends the request to one upstream over a pooled or new connection, and reads the start of the response.
     ///
@@ -112,12 +118,8 @@
         wire: HttpConnection,
         progress: &mut RequestProgress,
     ) -> Action {
-        let usual_latency = self
-            .vm
-            .usual_latency(self.route, &self.target.service, self.cost);
-        let relative_latency = latency.as_secs_f64() / usual_latency.as_secs_f64().max(0.001);
-        let response = match result {
-            Ok(Ok(response)) => response,
+        match result {
+            Ok(Ok(response)) => self.handle_response(response, latency, placed, wire, progress),
             Ok(Err(error)) => {
                 self.count_attempt("broken");
                 progress.may_have_executed = true;
@@ -125,75 +127,78 @@
                 let outcome = if error.is_malformed() {
                     AttemptOutcome::MalformedResponse
                 } else {
-                    AttemptOutcome::Failed {
-                        relative_latency: None,
-                    }
+                    FAILED
                 };
                 placed.complete(outcome, None);
-                return Action::Retry("the upstream's answer broke off");
+                Action::Retry("the upstream's answer broke off")
             }
             Err(_elapsed) => {
                 self.count_attempt("timeout");
                 progress.may_have_executed = true;
                 placed.complete(
                     AttemptOutcome::Failed {
-                        relative_latency: Some(relative_latency),
+                        relative_latency: Some(self.relative_latency(latency)),
                     },
                     None,
                 );
-                return Action::Fail("no answer in time");
+                Action::Fail("no answer in time")
             }
-        };
+        }
+    }
 
+    /// Returns a latency divided by the usual one of requests like this.
+    fn relative_latency(&self, latency: Duration) -> f64 {
+        let usual_latency = self
+            .vm
+            .usual_latency(self.route, &self.target.service, self.cost);
+        latency.as_secs_f64() / usual_latency.as_secs_f64().max(0.001)
+    }
+
+    /// Handles a response by what it states about the execution of the request.
+    fn handle_response(
+        &self,
+        response: UpstreamResponse,
+        latency: Duration,
+        placed: SlotPermit,
+        wire: HttpConnection,
+        progress: &mut RequestProgress,
+    ) -> Action {
         let load = (self.vm.dialect.parse_load)(&response.head.headers);
-        if upstream::is_not_executed(&response.head, &self.vm.dialect) {
-            return self.handle_not_executed(&response, wire, placed, load, progress);
-        }
-        let is_signed = response
-            .head
-            .headers
-            .get_str(self.vm.dialect.signature_header)
-            .is_some();
-        if !is_signed {
-            self.count_attempt("unsigned");
-            progress.may_have_executed = true;
-            self.return_to_pool(&response, wire, &placed);
-            placed.complete(
-                AttemptOutcome::Failed {
-                    relative_latency: None,
-                },
-                load,
-            );
-            return Action::Retry("the upstream's answer is not genuine");
+        let verdict = upstream::statement(&response.head, &self.vm.dialect).verdict();
+        match verdict {
+            Verdict::NotExecuted => {
+                return self.handle_not_executed(&response, wire, placed, load, progress);
+            }
+            Verdict::NotGenuine => {
+                self.count_attempt("unsigned");
+                progress.may_have_executed = true;
+                self.return_to_pool(&response, wire, &placed);
+                placed.complete(FAILED, load);
+                return Action::Retry("the upstream's answer is not genuine");
+            }
+            Verdict::Answer | Verdict::Failure => {}
         }
         self.vm
             .apply_response_notices(&placed.upstream, &response.head);
-        let outcome = if response.head.status >= 500 {
+        if verdict == Verdict::Failure {
             self.count_attempt("failure");
             progress.may_have_executed = true;
             if self.may_retry_after_failure(progress) {
                 self.return_to_pool(&response, wire, &placed);
-                placed.complete(
-                    AttemptOutcome::Failed {
-                        relative_latency: None,
-                    },
-                    load,
-                );
+                placed.complete(FAILED, load);
                 return Action::Retry("the upstream failed");
             }
-            AttemptOutcome::Failed {
-                relative_latency: None,
-            }
-        } else {
-            self.count_attempt("answer");
-            // The route's mean stays that of the old versions, with which a new one is compared.
-            if !self.vm.is_on_trial(&placed.upstream) {
-                self.vm.record_latency(self.route, latency);
-            }
-            self.vm
-                .record_relative_latency(&placed.upstream, relative_latency, load);
-            AttemptOutcome::Completed { relative_latency }
-        };
+            return self.relay_response(response, wire, placed, load, FAILED, latency);
+        }
+        self.count_attempt("answer");
+        let relative_latency = self.relative_latency(latency);
+        // The route's mean stays that of the old versions, with which a new one is compared.
+        if !self.vm.is_on_trial(&placed.upstream) {
+            self.vm.record_latency(self.route, latency);
+        }
+        self.vm
+            .record_relative_latency(&placed.upstream, relative_latency, load);
+        let outcome = AttemptOutcome::Completed { relative_latency };
         self.relay_response(response, wire, placed, load, outcome, latency)
     }
 
--- a/crates/kumquat-router/src/upstream.rs
+++ b/crates/kumquat-router/src/upstream.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use kumquat_coordination::fleet::response::Statement;
 use tokio::time::timeout;
 
 use crate::dialect::Dialect;
@@ -267,6 +268,16 @@
     head.status == MISDIRECTED_STATUS || head.headers.get_str(dialect.not_executed_header).is_some()
 }
 
+/// Returns what the head of a response states about the execution of the request.
+#[must_use]
+pub fn statement(head: &ResponseHead, dialect: &Dialect) -> Statement {
+    Statement {
+        status: head.status,
+        is_not_executed: is_not_executed(head, dialect),
+        is_signed: head.headers.get_str(dialect.signature_header).is_some(),
+    }
+}
+
 /// Returns whether a response announces that the upstream is about to shut down.
 #[must_use]
 pub fn announces_shutdown(head: &ResponseHead, dialect: &Dialect) -> bool {
