Replace an upstream's failure that denies an execution

The status tells callers that the request was not executed and never will be, and they send it again; it then runs twice.

Cause: a signed response was passed on whatever its status. The signature shows whose response it is; that it was not executed is stated by a field of its own, or by 421, which was read only to decide on a retry. Ruled out by the run of the case: a retry (each request ran once); by the tests on: a refusal of the router's own (the responses bore the upstream's signature, body and Retry-After).

Change: `Statement::verdict` knows the statuses that deny an execution (408, 421, 429, 503). Without the statement, the caller of a non-idempotent request gets 502 with nothing of the response: no signature, which would not fit another status, and no Retry-After. It is told without waiting for the rest of a long body. 500, 502 and 504 and all responses to idempotent requests pass as before.

--- a/crates/kumquat-coordination/src/fleet/response.rs
+++ b/crates/kumquat-coordination/src/fleet/response.rs
@@ -1,5 +1,8 @@
 //! The `response` module provides what becomes of an upstream's response, by what it states about the execution of the
 //! request.
+//!
+//! The statuses 408, 421, 429 and 503 tell a caller that its request was not executed and never will be. It then sends
+//! the request again, even if that is not idempotent. See `docs/decisions.md`, section 9.
 
 /// What the head of an upstream's response states.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,16 +26,22 @@
     Answer,
     /// The upstream failed; the response is passed on unless the request is retried.
     Failure,
+    /// The upstream failed with a status that would tell the caller that its request was not executed.
+    ///
+    /// The caller gets another status, and nothing of the response.
+    Replaced,
 }
 
 impl Statement {
-    /// Returns what becomes of the response.
+    /// Returns what becomes of the response to a request that is idempotent or not.
     #[must_use]
-    pub const fn verdict(&self) -> Verdict {
+    pub const fn verdict(&self, is_idempotent: bool) -> Verdict {
         if self.is_not_executed {
             Verdict::NotExecuted
         } else if !self.is_signed {
             Verdict::NotGenuine
+        } else if !is_idempotent && denies_execution(self.status) {
+            Verdict::Replaced
         } else if self.status >= 500 {
             Verdict::Failure
         } else {
@@ -47,9 +56,13 @@
 #[must_use]
 pub const fn refusal_status(may_have_executed: bool, has_time_left: bool) -> u16 {
     match (may_have_executed, has_time_left) {
-        // Guarantees that the request was not executed and will not be.
         (false, _) => 503,
         (true, true) => 502,
         (true, false) => 504,
     }
 }
+
+/// Returns whether a status tells the caller that its request was not executed and never will be.
+const fn denies_execution(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
--- a/crates/kumquat-router/src/gateway/attempt.rs
+++ b/crates/kumquat-router/src/gateway/attempt.rs
@@ -25,6 +25,9 @@
     relative_latency: None,
 };
 
+/// Reason of the refusal of a request whose upstream failed with a status that promises that it was not executed.
+pub(super) const UNSTATED_FAILURE: &str = "the upstream failed and may have executed the request";
+
 impl ResolvedRequest<'_> {
     /// Sends the request to one upstream over a pooled or new connection, and reads the start of the response.
     ///
@@ -164,7 +167,8 @@
         progress: &mut RequestProgress,
     ) -> Action {
         let load = (self.vm.dialect.parse_load)(&response.head.headers);
-        let verdict = upstream::statement(&response.head, &self.vm.dialect).verdict();
+        let verdict =
+            upstream::statement(&response.head, &self.vm.dialect).verdict(self.route.is_idempotent);
         match verdict {
             Verdict::NotExecuted => {
                 return self.handle_not_executed(&response, wire, placed, load, progress);
@@ -176,11 +180,11 @@
                 placed.complete(FAILED, load);
                 return Action::Retry("the upstream's answer is not genuine");
             }
-            Verdict::Answer | Verdict::Failure => {}
+            Verdict::Answer | Verdict::Failure | Verdict::Replaced => {}
         }
         self.vm
             .apply_response_notices(&placed.upstream, &response.head);
-        if verdict == Verdict::Failure {
+        if verdict != Verdict::Answer {
             self.count_attempt("failure");
             progress.may_have_executed = true;
             if self.may_retry_after_failure(progress) {
@@ -188,6 +192,9 @@
                 placed.complete(FAILED, load);
                 return Action::Retry("the upstream failed");
             }
+            if verdict == Verdict::Replaced {
+                return self.replace_response(&response, wire, placed, load, latency);
+            }
             return self.relay_response(response, wire, placed, load, FAILED, latency);
         }
         self.count_attempt("answer");
@@ -202,6 +209,25 @@
         self.relay_response(response, wire, placed, load, outcome, latency)
     }
 
+    /// Reports the failure of an attempt whose response the caller must not get, without waiting for the rest of it.
+    fn replace_response(
+        &self,
+        response: &UpstreamResponse,
+        wire: HttpConnection,
+        placed: SlotPermit,
+        load: Option<UpstreamLoad>,
+        latency: Duration,
+    ) -> Action {
+        if response.unread_body.is_complete() {
+            let sent_at = clock::now() - latency;
+            self.return_to_pool(response, wire, &placed);
+            self.vm
+                .record_executed(&placed.upstream, || self.fingerprint(), sent_at);
+        }
+        placed.complete(FAILED, load);
+        Action::Fail(UNSTATED_FAILURE)
+    }
+
     /// Returns the response for the caller, whole or as a stream, and reports the outcome of the former.
     fn relay_response(
         &self,
