Check what a helping VM passes on of its upstreams

A helping VM of the version before passes on an upstream's signed 408, 429 or 503 of a request that ran, so that in a mixed fleet a caller of a repaired VM is still told that the request was not executed.

Change: what comes through another VM with an upstream's signature, and with such a status but without the statement, is replaced by 502 for non-idempotent requests and not sent to a further VM (`Statement::is_relayable`, counted as `replaced`). Without the signature it is that VM's own refusal, which knows whether it has sent the request: status and Retry-After stay. A VM of the version before that takes such a request itself can't be mended from here.

--- a/crates/kumquat-coordination/src/fleet/response.rs
+++ b/crates/kumquat-coordination/src/fleet/response.rs
@@ -48,6 +48,15 @@
             Verdict::Answer
         }
     }
+
+    /// Returns whether a response that has come through another VM may be passed on to the caller.
+    ///
+    /// A VM of an older version passes on what [`Verdict::Replaced`] is for. What an upstream has not signed is the other
+    /// VM's own, which knows whether it sent the request.
+    #[must_use]
+    pub const fn is_relayable(&self, is_idempotent: bool) -> bool {
+        is_idempotent || self.is_not_executed || !self.is_signed || !denies_execution(self.status)
+    }
 }
 
 /// Returns the status of a response that the router generates for a request that has no response to pass on.
--- a/crates/kumquat-coordination/tests/fleet_response.rs
+++ b/crates/kumquat-coordination/tests/fleet_response.rs
@@ -76,6 +76,29 @@
     }
 }
 
+/// Guards against a VM that passes on through another one what that one, of an older version, took from an upstream.
+#[test]
+fn a_response_through_another_vm_is_checked_if_an_upstream_has_signed_it() {
+    for status in NOT_EXECUTED_STATUSES {
+        let own = Statement {
+            is_signed: false,
+            ..signed(status)
+        };
+        let stated = Statement {
+            is_not_executed: true,
+            ..signed(status)
+        };
+
+        assert!(!signed(status).is_relayable(NON_IDEMPOTENT), "{status}");
+        assert!(signed(status).is_relayable(IDEMPOTENT), "{status}");
+        assert!(own.is_relayable(NON_IDEMPOTENT), "{status}");
+        assert!(stated.is_relayable(NON_IDEMPOTENT), "{status}");
+    }
+    for status in [200, 404, 500, 502, 504] {
+        assert!(signed(status).is_relayable(NON_IDEMPOTENT), "{status}");
+    }
+}
+
 /// Guards against a refusal of the router's own that denies an execution which may have taken place.
 #[test]
 fn a_request_that_may_have_been_executed_is_never_refused_as_not_executed() {
--- a/crates/kumquat-router/src/gateway/forward.rs
+++ b/crates/kumquat-router/src/gateway/forward.rs
@@ -6,7 +6,7 @@
 use kumquat_state::clock;
 use tokio::time::timeout;
 
-use super::attempt::{append, relayed};
+use super::attempt::{UNSTATED_FAILURE, append, relayed};
 use super::stream::StreamSource;
 use super::{
     DEFAULT_RETRY_AFTER, MIN_REMAINING_TIME, Refusal, RequestProgress, ResolvedRequest, Response,
@@ -23,6 +23,9 @@
 /// Field by which a VM tells a peer that it has not executed a forwarded request and that another VM may.
 pub(crate) const DECLINED_HEADER: &str = "Kumquat-Declined";
 
+/// Reason of the refusal of a request that another VM may have executed.
+const BROKEN_OFF: &str = "the other VM's answer broke off";
+
 /// Reason of the refusal of a request at a VM that has no path, if no other VM has one.
 pub(super) const NO_PATH: &str = "no path to the upstreams";
 
@@ -57,27 +60,27 @@
             };
             tried.push(permit.helper.vm);
             match self.forward_to(permit, progress).await {
-                Some(response) => return Ok(response),
-                None if progress.may_have_executed && !self.route.is_idempotent => {
-                    return Err(self.refusal(
-                        progress,
-                        "the other VM's answer broke off",
-                        Duration::ZERO,
-                    ));
+                Ok(response) => return Ok(response),
+                Err(reason) if progress.may_have_executed && !self.route.is_idempotent => {
+                    return Err(self.refusal(progress, reason, Duration::ZERO));
                 }
-                None => {}
+                Err(_reason) => {}
             }
         }
         self.count_forward("refused");
         Err(self.refusal(progress, NO_PATH, DEFAULT_RETRY_AFTER))
     }
 
-    /// Forwards the request to one VM; returns `None` if that VM gave no response for the caller.
+    /// Forwards the request to one VM.
+    ///
+    /// # Errors
+    ///
+    /// Returns a reason if that VM gave no response for the caller.
     async fn forward_to(
         &self,
         permit: HelperPermit,
         progress: &mut RequestProgress,
-    ) -> Option<Response> {
+    ) -> Result<Response, &'static str> {
         let address = permit.helper.address;
         // An idle connection may have been closed by its peer, which leaves open whether the request was executed.
         let pooled = if self.route.is_idempotent {
@@ -96,12 +99,12 @@
                 self.count_forward("unreachable");
                 slog::debug!(self.vm.log, "helping VM not reached"; "address" => %address, "error" => %error);
                 permit.eject();
-                return None;
+                return Err(NO_PATH);
             }
         };
         let remaining = clock::now().until(self.deadline);
         if remaining < MIN_REMAINING_TIME {
-            return None;
+            return Err(NO_PATH);
         }
         progress.forwarded_to = Some(address);
         let head = self.encode_forwarded_head(remaining);
@@ -114,11 +117,16 @@
         {
             Ok(Ok(response)) if self.is_declined(&response.head) => {
                 self.count_forward("declined");
-                None
+                Err(NO_PATH)
+            }
+            Ok(Ok(response)) if !self.is_relayable(&response.head) => {
+                self.count_forward("replaced");
+                progress.may_have_executed = true;
+                Err(UNSTATED_FAILURE)
             }
             Ok(Ok(response)) => {
                 self.count_forward("answered");
-                Some(self.relay_peer_response(response, wire, permit))
+                Ok(self.relay_peer_response(response, wire, permit))
             }
             Ok(Err(error)) => {
                 self.count_forward("broken");
@@ -126,16 +134,20 @@
                 slog::debug!(self.vm.log, "helping VM's answer broken"; "id" => self.attempt_id,
                     "address" => %address, "error" => %error);
                 permit.eject();
-                None
+                Err(BROKEN_OFF)
             }
             Err(_elapsed) => {
                 self.count_forward("timeout");
                 progress.may_have_executed = true;
-                None
+                Err(BROKEN_OFF)
             }
         }
     }
 
+    fn is_relayable(&self, head: &ResponseHead) -> bool {
+        upstream::statement(head, &self.vm.dialect).is_relayable(self.route.is_idempotent)
+    }
+
     /// Returns whether a VM declined the request; an upstream's response is signed.
     fn is_declined(&self, head: &ResponseHead) -> bool {
         head.status == 503
