Count an upstream's own 408 and 429 as failures

Its speed went into the means of the route and the upstream, which made a failing upstream look fast; idempotent requests were not retried; and, by reading, a new version that answers all its requests with 429 has no failures in the comparison of its rollout.

Change: `Statement::verdict` takes these statuses as failures, as it does with 5xx. For non-idempotent requests that has held since the response is replaced. Without a possible retry the response passes unchanged.

Before: with the test of a failing rollout run for 500, 503, 429 and 408, 429 gave [429; 10] to callers in place of [200; 10]; 3 of the 17 tests of fleet_response, rollout and unstated_failures failed. After: 17 of 17; ten requests beside a version that fails with 429 or 408 are all served by the old one, and the VM stops sending to the new one at the sixth failure, for idempotent and non-idempotent requests.

--- a/crates/kumquat-coordination/src/fleet/response.rs
+++ b/crates/kumquat-coordination/src/fleet/response.rs
@@ -42,7 +42,7 @@
             Verdict::NotGenuine
         } else if !is_idempotent && denies_execution(self.status) {
             Verdict::Replaced
-        } else if self.status >= 500 {
+        } else if self.status >= 500 || denies_execution(self.status) {
             Verdict::Failure
         } else {
             Verdict::Answer
--- a/crates/kumquat-coordination/tests/fleet_response.rs
+++ b/crates/kumquat-coordination/tests/fleet_response.rs
@@ -37,7 +37,7 @@
 /// Guards against idempotent requests that are not retried, or whose last response loses its signature and status.
 #[test]
 fn a_failure_of_an_idempotent_request_is_retried_or_passed_on() {
-    for status in [500, 502, 503, 504] {
+    for status in [408, 429, 500, 502, 503, 504] {
         assert_eq!(signed(status).verdict(IDEMPOTENT), Verdict::Failure);
     }
     for status in [200, 204, 304, 400, 404, 409, 413] {
--- a/crates/kumquat-router/tests/rollout.rs
+++ b/crates/kumquat-router/tests/rollout.rs
@@ -15,9 +15,13 @@
 use kumquat_coordination::fleet::{Holder, Member, UpstreamInstance};
 use kumquat_state::clock;
 
-/// A genuine response with a failure.
-const FAILURE: UpstreamAction =
-    UpstreamAction::Raw("HTTP/1.1 500 X\r\nX-Try: ID\r\nX-Sign: s\r\nContent-Length: 0\r\n\r\n");
+/// Genuine responses with a failure.
+const FAILURES: [UpstreamAction; 4] = [
+    UpstreamAction::Raw("HTTP/1.1 500 X\r\nX-Try: ID\r\nX-Sign: s\r\nContent-Length: 0\r\n\r\n"),
+    UpstreamAction::Raw("HTTP/1.1 503 X\r\nX-Try: ID\r\nX-Sign: s\r\nContent-Length: 0\r\n\r\n"),
+    UpstreamAction::Raw("HTTP/1.1 429 X\r\nX-Try: ID\r\nX-Sign: s\r\nContent-Length: 0\r\n\r\n"),
+    UpstreamAction::Raw("HTTP/1.1 408 X\r\nX-Try: ID\r\nX-Sign: s\r\nContent-Length: 0\r\n\r\n"),
+];
 
 fn versioned(upstream: UpstreamInstance, version: &str) -> UpstreamInstance {
     UpstreamInstance {
@@ -51,32 +55,58 @@
 /// or that a VM goes on to cause.
 #[test]
 fn failures_of_a_new_version_are_counted_and_retried_at_the_old_one() {
-    run_local_test(async {
-        let old = ScriptedUpstream::bind(&[UpstreamAction::Answer("ok")]).await;
-        let new = ScriptedUpstream::bind(&[FAILURE]).await;
-        let router = start_router(&[]);
-        for (name, version, upstream) in [("old", "v1", &old), ("new", "v2", &new)] {
-            let upstream = versioned(registration(name, POOL, upstream), version);
-            router.vm.upsert_upstream(upstream);
-        }
-        // One VM alone may use 20 requests of the slack.
-        apply_share(&router, POOL, 100);
+    for failure in FAILURES {
+        run_local_test(check_rollout(failure, "GET", "/safe/a", |statuses| {
+            assert_eq!(statuses, [200; 10], "{failure:?}");
+        }));
+    }
+}
 
-        let mut statuses = Vec::new();
-        for number in 0..10 {
-            let text = request("GET", "/safe/a", &format!("t{number}"));
-            statuses.push(status(&send_request(router.address, &text).await));
-        }
+/// Guards against a new version whose failures are not counted because their status is one of unexecuted requests.
+#[test]
+fn failures_of_a_new_version_are_counted_for_non_idempotent_requests() {
+    for failure in &FAILURES[1..] {
+        run_local_test(check_rollout(*failure, "POST", "/once/a", |statuses| {
+            let failed = statuses.iter().filter(|status| **status == 502).count();
+            let served = statuses.iter().filter(|status| **status == 200).count();
+            assert_eq!((failed, served), (6, 4), "{failure:?}");
+        }));
+    }
+}
 
-        assert_eq!(statuses, [200; 10]);
-        let observations = router.vm.rollout_observations();
-        let counts = observations[0].routes[0];
-        assert_eq!((observations.len(), observations[0].routes.len()), (1, 1));
-        assert_eq!((counts.old.requests, counts.old.failures), (10, 0));
-        // The VM stops by itself at the sixth failure.
-        assert_eq!((counts.new.requests, counts.new.failures), (6, 6));
-        assert_eq!(new.requests().len(), 6);
-    });
+/// Sends ten requests of which the first ones go to a failing new version, and checks their statuses and counts.
+async fn check_rollout(
+    failure: UpstreamAction,
+    method: &str,
+    path: &str,
+    check_statuses: impl FnOnce(&[u16]),
+) {
+    let old = ScriptedUpstream::bind(&[UpstreamAction::Answer("ok")]).await;
+    let new = ScriptedUpstream::bind(&[failure]).await;
+    let router = start_router(&[]);
+    for (name, version, upstream) in [("old", "v1", &old), ("new", "v2", &new)] {
+        let upstream = versioned(registration(name, POOL, upstream), version);
+        router.vm.upsert_upstream(upstream);
+    }
+    // One VM alone may use 20 requests of the slack.
+    apply_share(&router, POOL, 100);
+
+    let mut statuses = Vec::new();
+    for number in 0..10 {
+        let text = request(method, path, &format!("t{number}"));
+        statuses.push(status(&send_request(router.address, &text).await));
+    }
+
+    check_statuses(&statuses);
+    let observations = router.vm.rollout_observations();
+    let counts = observations[0].routes[0];
+    assert_eq!((observations.len(), observations[0].routes.len()), (1, 1));
+    let served = u32::try_from(statuses.iter().filter(|status| **status == 200).count());
+    let served = served.expect("a small number");
+    assert_eq!((counts.old.requests, counts.old.failures), (served, 0));
+    // The VM stops by itself at the sixth failure.
+    assert_eq!((counts.new.requests, counts.new.failures), (6, 6));
+    assert_eq!(new.requests().len(), 6);
 }
 
 /// Guards against a new version that owns more keys than its share, which a limit on requests can't correct.
--- a/crates/kumquat-router/tests/unstated_failures.rs
+++ b/crates/kumquat-router/tests/unstated_failures.rs
@@ -261,21 +261,25 @@
 /// Guards against idempotent requests that lose their retry, or the upstream's own response where there is none.
 #[test]
 fn idempotent_requests_are_retried_or_get_the_upstreams_own_failure() {
-    run_local_test(async {
-        let failing = ScriptedUpstream::bind(&[SHORT_FAILURES[0]]).await;
-        let sound = ScriptedUpstream::bind(&[UpstreamAction::Answer("fine")]).await;
-        let router = start_router(&[&failing, &sound]);
-        // Only its owner may run a keyed request, so that it is not retried.
-        let keyed_router = start_keyed_router(&failing);
-
-        for id in ["t1", "t2", "t3", "t4"] {
-            let answer = send_request(router.address, &request("GET", "/safe/a", id)).await;
-            assert_eq!(status(&answer), 200, "{answer:?}");
-        }
-        let own = send_request(keyed_router.address, &request("GET", "/keyed/a", "t5")).await;
-
-        assert_eq!(status(&own), 503, "{own:?}");
-        assert_eq!(header_field(&own, "X-Sign").as_deref(), Some("s"));
-        assert_eq!(header_field(&own, "Retry-After").as_deref(), Some("0.2"));
-    });
+    for (action, expected) in [(SHORT_FAILURES[0], 503), (SHORT_FAILURES[1], 429)] {
+        run_local_test(check_idempotent_requests(action, expected));
+    }
+}
+
+async fn check_idempotent_requests(action: UpstreamAction, expected: u16) {
+    let failing = ScriptedUpstream::bind(&[action]).await;
+    let sound = ScriptedUpstream::bind(&[UpstreamAction::Answer("fine")]).await;
+    let router = start_router(&[&failing, &sound]);
+    // Only its owner may run a keyed request, so that it is not retried.
+    let keyed_router = start_keyed_router(&failing);
+
+    for id in ["t1", "t2", "t3", "t4"] {
+        let answer = send_request(router.address, &request("GET", "/safe/a", id)).await;
+        assert_eq!(status(&answer), 200, "{answer:?}");
+    }
+    let own = send_request(keyed_router.address, &request("GET", "/keyed/a", "t5")).await;
+
+    assert_eq!(status(&own), expected, "{own:?}");
+    assert_eq!(header_field(&own, "X-Sign").as_deref(), Some("s"));
+    assert_eq!(header_field(&own, "Retry-After").as_deref(), Some("0.2"));
 }
