Log the status of the upstream's last response

Cause: since an upstream's failure can be replaced, the status in the line of a request is not the one that the upstream gave, and a 502 after a broken answer looks like one after such a failure but for its reason.

Change: the line has `upstream_status`, the status of the last response of an upstream or of the VM that the request was forwarded to; null if the last attempt had none. `kumquatctl explain` prints it with the rest of the line. The page that explains a routing decision (`/explain`) predicts refusals of requests that are not sent only, so that nothing changes there.

--- a/crates/kumquat-router/src/access_log.rs
+++ b/crates/kumquat-router/src/access_log.rs
@@ -38,6 +38,9 @@
     pub reason: &'a str,
     /// Names of the upstreams that were tried, in order, separated by commas.
     pub upstreams: String,
+    /// HTTP status of the last response of an upstream, or of the VM to which the request was forwarded; it differs from
+    /// `status` if the caller could not get that response.
+    pub upstream_status: Option<u16>,
     /// Upstream whose request limit led to the refusal, if one did.
     pub limited_by: Option<Arc<str>>,
     /// Address of the VM to which the request was forwarded, if it was.
@@ -122,7 +125,7 @@
             "id" => entry.id, "route" => entry.route, "team" => entry.team, "service" => &entry.service,
             "key" => entry.key,
             "status" => entry.status, "reason" => entry.reason, "upstreams" => &entry.upstreams,
-            "limited_by" => entry.limited_by.as_deref(),
+            "upstream_status" => entry.upstream_status, "limited_by" => entry.limited_by.as_deref(),
             "forwarded_to" => entry.forwarded_to.map(|address| address.to_string()),
             "took_ms" => entry.took_ms, "waited_ms" => entry.waited_ms, "deadline_ms" => entry.deadline_ms,
             "version" => entry.version, "waiting" => entry.waiting);
--- a/crates/kumquat-router/src/gateway.rs
+++ b/crates/kumquat-router/src/gateway.rs
@@ -161,6 +161,8 @@
     may_have_executed: bool,
     /// Whether the last upstream shed the request although it had a free slot.
     was_shed_with_room: bool,
+    /// Status of the last response to an attempt, also one that the caller doesn't get.
+    upstream_status: Option<u16>,
     /// Address of the VM to which the request was forwarded last.
     forwarded_to: Option<SocketAddr>,
     /// Total time in the queue.
@@ -242,6 +244,7 @@
     entry.took_ms = saturating_millis(duration);
     entry.waited_ms = saturating_millis(progress.queue_wait);
     entry.upstreams = progress.tried_upstreams.join(",");
+    entry.upstream_status = progress.upstream_status;
     entry.waiting = vm.queue_length();
     vm.request_log.write(&entry);
     vm.metrics
--- a/crates/kumquat-router/src/gateway/attempt.rs
+++ b/crates/kumquat-router/src/gateway/attempt.rs
@@ -42,6 +42,7 @@
         let address = placed.upstream.address;
         progress.tried_upstreams.push(Arc::clone(&upstream_name));
         progress.was_shed_with_room = false;
+        progress.upstream_status = None;
         // The answer to an earlier attempt may be repeated on its connection, and has the same id.
         let pooled = if progress.sent_to.contains(&address) {
             None
@@ -166,6 +167,7 @@
         wire: HttpConnection,
         progress: &mut RequestProgress,
     ) -> Action {
+        progress.upstream_status = Some(response.head.status);
         let load = (self.vm.dialect.parse_load)(&response.head.headers);
         let verdict =
             upstream::statement(&response.head, &self.vm.dialect).verdict(self.route.is_idempotent);
--- a/crates/kumquat-router/src/gateway/forward.rs
+++ b/crates/kumquat-router/src/gateway/forward.rs
@@ -107,14 +107,15 @@
             return Err(NO_PATH);
         }
         progress.forwarded_to = Some(address);
+        progress.upstream_status = None;
         let head = self.encode_forwarded_head(remaining);
         let parts = self.with_body(&head);
-        match timeout(
-            remaining,
-            exchange(&mut wire, &self.received.head.method, &parts),
-        )
-        .await
-        {
+        let pending = exchange(&mut wire, &self.received.head.method, &parts);
+        let result = timeout(remaining, pending).await;
+        if let Ok(Ok(response)) = &result {
+            progress.upstream_status = Some(response.head.status);
+        }
+        match result {
             Ok(Ok(response)) if self.is_declined(&response.head) => {
                 self.count_forward("declined");
                 Err(NO_PATH)
--- a/crates/kumquatctl/tests/explain.rs
+++ b/crates/kumquatctl/tests/explain.rs
@@ -13,7 +13,7 @@
 not a log line
 {"msg":"upstream removed","ts":"2026-01-01T00:00:05Z","vm":"vm-a","upstream":"i-1"}
 {"msg":"upstream removed","ts":"2026-01-01T00:00:05Z","vm":"vm-a","upstream":"i-2"}
-{"msg":"request","ts":"2026-01-01T00:00:03Z","vm":"vm-a","id":"r1","service":"reads","status":502,"upstreams":"i-1"}
+{"msg":"request","ts":"2026-01-01T00:00:03Z","vm":"vm-a","id":"r1","service":"reads","status":502,"upstreams":"i-1","upstream_status":503}
 {"msg":"request","ts":"2026-01-01T00:00:03Z","vm":"vm-a","id":"r2","service":"reads","status":200,"upstreams":"i-2"}
 {"msg":"upstream announced a request limit","ts":"2026-01-01T00:00:04Z","vm":"vm-a","upstream":"i-3","per_s":2.5}
 {"msg":"upstream announced a request limit","ts":"2026-01-01T00:00:04Z","vm":"vm-b","upstream":"i-3","per_s":2.5}
@@ -49,7 +49,8 @@
     let lines = stdout(&output);
     assert_eq!(lines.len(), 4, "{lines:?}");
     assert!(lines[1].contains("owners changed") && lines[1].contains("moving=2"));
-    assert!(lines[2].contains("request") && lines[2].contains("status=502"));
+    assert!(lines[2].contains("request") && lines[2].contains(" status=502"));
+    assert!(lines[2].contains("upstream_status=503"), "{lines:?}");
     assert!(lines[3].contains("upstream removed") && lines[3].contains("upstream=i-1"));
 }
 
