Derive what may be relayed from the verdict; share two twins

`Statement::is_relayable` spelled out the negation of the condition under which `verdict` gives `Replaced`; it now asks the verdict, so that the two can't drift apart. The end of a complete exchange (connection to the pool, execution recorded) stood in `relay_response` and again in `replace_response`; both call `finish_exchange`. Two tests of forwarding played the same scenario; both call `check_replaced`, which has the assertions of the stricter one, so that the response with the field for declined requests is now also checked for `Retry-After`.

--- a/crates/kumquat-coordination/src/fleet/response.rs
+++ b/crates/kumquat-coordination/src/fleet/response.rs
@@ -55,7 +55,7 @@
     /// VM's own, which knows whether it sent the request.
     #[must_use]
     pub const fn is_relayable(&self, is_idempotent: bool) -> bool {
-        is_idempotent || self.is_not_executed || !self.is_signed || !denies_execution(self.status)
+        !matches!(self.verdict(is_idempotent), Verdict::Replaced)
     }
 }
 
--- a/crates/kumquat-router/src/gateway/attempt.rs
+++ b/crates/kumquat-router/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
 
 use kumquat_coordination::fleet::response::Verdict;
 use kumquat_coordination::fleet::{AttemptOutcome, UpstreamLoad};
-use kumquat_state::clock;
+use kumquat_state::clock::{self, Instant};
 use tokio::time::timeout;
 
 use super::stream::StreamSource;
@@ -222,14 +222,25 @@
     ) -> Action {
         if response.unread_body.is_complete() {
             let sent_at = clock::now() - latency;
-            self.return_to_pool(response, wire, &placed);
-            self.vm
-                .record_executed(&placed.upstream, || self.fingerprint(), sent_at);
+            self.finish_exchange(response, wire, &placed, sent_at);
         }
         placed.complete(FAILED, load);
         Action::Fail(UNSTATED_FAILURE)
     }
 
+    /// Returns the connection of a complete response to the pool, and records that the upstream executed the request.
+    fn finish_exchange(
+        &self,
+        response: &UpstreamResponse,
+        wire: HttpConnection,
+        placed: &SlotPermit,
+        sent_at: Instant,
+    ) {
+        self.return_to_pool(response, wire, placed);
+        self.vm
+            .record_executed(&placed.upstream, || self.fingerprint(), sent_at);
+    }
+
     /// Returns the response for the caller, whole or as a stream, and reports the outcome of the former.
     fn relay_response(
         &self,
@@ -242,9 +253,7 @@
     ) -> Action {
         let sent_at = clock::now() - latency;
         if response.unread_body.is_complete() {
-            self.return_to_pool(&response, wire, &placed);
-            self.vm
-                .record_executed(&placed.upstream, || self.fingerprint(), sent_at);
+            self.finish_exchange(&response, wire, &placed, sent_at);
             placed.complete(outcome, load);
             return Action::Respond(relayed(
                 response.head.status,
--- a/crates/kumquat-router/tests/forwarding.rs
+++ b/crates/kumquat-router/tests/forwarding.rs
@@ -152,24 +152,10 @@
 /// Guards against an upstream that makes a request run twice by a field of its own in a failure.
 #[test]
 fn a_signed_answer_is_never_taken_for_a_declined_request() {
-    run_local_test(async {
-        let router = start_cut_router().await;
-        let signed = UpstreamAction::Raw(
-            "HTTP/1.1 503 X\r\nX-Try: ID\r\nX-Sign: s\r\nKumquat-Declined: 1\r\nContent-Length: 0\r\n\r\n",
-        );
-        let helper = ScriptedUpstream::bind(&[signed]).await;
-        offer_help(&router, 2, helper.address);
-        offer_help(&router, 3, helper.address);
-
-        let response = send_request(router.address, &request("POST", "/once/1", "t1")).await;
-
-        assert_eq!(
-            (status(&response), helper.requests().len()),
-            (502, 1),
-            "{response}"
-        );
-        assert_eq!(header_field(&response, "X-Sign"), None, "{response}");
-    });
+    let signed = UpstreamAction::Raw(
+        "HTTP/1.1 503 X\r\nX-Try: ID\r\nX-Sign: s\r\nKumquat-Declined: 1\r\nContent-Length: 0\r\n\r\n",
+    );
+    run_local_test(check_replaced(signed));
 }
 
 /// Failures of an upstream that do not state whether it executed the request, as a VM of an older version passes them on.
@@ -192,25 +178,29 @@
 #[test]
 fn an_unstated_failure_through_another_vm_is_not_passed_on_as_not_executed() {
     for action in UNSTATED_FAILURES {
-        run_local_test(async move {
-            let router = start_cut_router().await;
-            let helper = ScriptedUpstream::bind(&[action]).await;
-            offer_help(&router, 2, helper.address);
-            offer_help(&router, 3, helper.address);
-
-            let response = send_request(router.address, &request("POST", "/once/1", "t1")).await;
-
-            assert_eq!(
-                (status(&response), helper.requests().len()),
-                (502, 1),
-                "{action:?} gave {response}"
-            );
-            assert_eq!(header_field(&response, "X-Sign"), None, "{response}");
-            assert_eq!(header_field(&response, "Retry-After"), None, "{response}");
-        });
+        run_local_test(check_replaced(action));
     }
 }
 
+/// Checks that the caller of a non-idempotent request, to whose helping VM an upstream responds with `action`, learns
+/// that the outcome is open, and that no second VM gets the request.
+async fn check_replaced(action: UpstreamAction) {
+    let router = start_cut_router().await;
+    let helper = ScriptedUpstream::bind(&[action]).await;
+    offer_help(&router, 2, helper.address);
+    offer_help(&router, 3, helper.address);
+
+    let response = send_request(router.address, &request("POST", "/once/1", "t1")).await;
+
+    assert_eq!(
+        (status(&response), helper.requests().len()),
+        (502, 1),
+        "{action:?} gave {response}"
+    );
+    assert_eq!(header_field(&response, "X-Sign"), None, "{response}");
+    assert_eq!(header_field(&response, "Retry-After"), None, "{response}");
+}
+
 /// Guards against refusals of a helping VM that lose their status or the time after which the caller may try again.
 #[test]
 fn refusals_of_another_vm_and_failures_of_idempotent_requests_pass_unchanged() {
